--- /dev/null
+++ b/crates/gullspar/src/command_line.rs
@@ -0,0 +1,35 @@
+//! The command line of `gullspar`.
+
+use std::path::PathBuf;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+
+/// The whole command line.
+pub(crate) fn command() -> Command {
+    let file = Arg::new("file")
+        .value_name("FILE")
+        .help("Settings of the instance: JSON with comments, see docs/settings.md")
+        .required(true)
+        .value_parser(value_parser!(PathBuf));
+    Command::new("gullspar")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("A database proxy with session consistency: one entry instance")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(
+            Command::new("run")
+                .about("Runs an instance until SIGINT or SIGTERM, then drains it")
+                .arg(file.clone()),
+        )
+        .subcommand(
+            Command::new("check")
+                .about("Checks a settings file and reports every finding with its place")
+                .arg(file),
+        )
+        .subcommand(Command::new("settings").about("Prints the reference of all settings"))
+}
+
+/// The settings file of a subcommand.
+pub(crate) fn file(args: &ArgMatches) -> PathBuf {
+    args.get_one::<PathBuf>("file").cloned().unwrap_or_default()
+}
--- /dev/null
+++ b/crates/gullspar/src/main.rs
@@ -0,0 +1,18 @@
+//! The program that every entry instance runs.
+
+mod check;
+mod command_line;
+mod run;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let matches = command_line::command().get_matches();
+    match matches.subcommand() {
+        Some(("run", args)) => run::run(command_line::file(args)),
+        Some(("check", args)) => check::check(command_line::file(args)),
+        Some(("settings", _)) => check::print_reference(),
+        // The command line accepts no other.
+        _ => ExitCode::FAILURE,
+    }
+}
--- /dev/null
+++ b/crates/gullspar/src/run.rs
@@ -0,0 +1,52 @@
+//! Running one instance.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::SystemTime;
+
+use gullspar_instance::{Instance, InstanceTiming, system_borders};
+use gullspar_settings::InstanceSettings;
+use logforth::append;
+
+use crate::check;
+
+/// Runs the instance that `file` describes.
+pub(crate) fn run(file: PathBuf) -> ExitCode {
+    let settings = match check::read(&file) {
+        Ok(settings) => settings,
+        Err(text) => {
+            eprintln!("{text}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let filter = logforth::filter::rustlog::RustLogFilterBuilder::from_default_env_or("info,tarpc=warn");
+    logforth::starter_log::builder()
+        .dispatch(|it| it.filter(filter.build()).append(append::Stderr::default()))
+        .apply();
+    let _timers = gullspar_instance::enter_timer_context();
+    let runtime = match compio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(err) => {
+            eprintln!("the runtime could not start: {err}");
+            return ExitCode::FAILURE;
+        }
+    };
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: InstanceSettings) -> ExitCode {
+    let borders = system_borders(&settings);
+    let timing = InstanceTiming::from_settings(&settings);
+    let epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let incarnation = epoch.map_or(1, |it| it.as_millis() as u64);
+    match Instance::start(settings, borders, timing, incarnation).await {
+        Ok(instance) => {
+            instance.run(gullspar_instance::termination()).await;
+            ExitCode::SUCCESS
+        }
+        Err(err) => {
+            eprintln!("{err}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/gullspar_bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Under construction.
--- /dev/null
+++ b/crates/gullspar_caller/src/caller_server.rs
@@ -0,0 +1,110 @@
+//! Accepts callers.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use gullspar_border::{Link, within};
+use gullspar_fleet::Fleet;
+use gullspar_model::TokenKey;
+use gullspar_wire::{Channel, ErrorReport, WireError};
+
+use crate::session::Session;
+use crate::startup::{self, Opening};
+use crate::{CallerStats, CancelRegistry, Classifier, Router};
+
+/// How long a caller may take to start its session.
+const START_WITHIN: Duration = Duration::from_secs(10);
+
+/// How callers are served.
+#[derive(Clone)]
+pub struct CallerSettings {
+    /// Callers connected at once.
+    pub limit: u64,
+    /// The key that session tokens are signed with.
+    pub token_key: TokenKey,
+}
+
+/// What all sessions of an instance share.
+pub struct CallerServer {
+    pub(crate) fleet: Rc<Fleet>,
+    pub(crate) router: Rc<Router>,
+    pub(crate) cancels: Rc<CancelRegistry>,
+    pub(crate) stats: Rc<CallerStats>,
+    pub(crate) classifier: Classifier,
+    pub(crate) settings: CallerSettings,
+    connected: Cell<u64>,
+}
+
+impl CallerServer {
+    /// A server without callers.
+    pub fn new(
+        fleet: Rc<Fleet>,
+        router: Rc<Router>,
+        cancels: Rc<CancelRegistry>,
+        stats: Rc<CallerStats>,
+        settings: CallerSettings,
+    ) -> Rc<CallerServer> {
+        Rc::new(CallerServer {
+            fleet,
+            router,
+            cancels,
+            stats,
+            classifier: Classifier::default(),
+            settings,
+            connected: Cell::new(0),
+        })
+    }
+
+    /// Callers connected now.
+    pub fn connected(&self) -> u64 {
+        self.connected.get()
+    }
+
+    /// Serves one caller until it leaves.
+    pub async fn serve(self: Rc<Self>, link: Box<dyn Link>) {
+        self.connected.set(self.connected.get() + 1);
+        let mut channel = Channel::new(link, Channel::DEFAULT_LIMIT);
+        match self.converse(&mut channel).await {
+            Ok(()) | Err(WireError::Closed) => {}
+            Err(err) => self.part(&mut channel, &err).await,
+        }
+        self.connected.set(self.connected.get() - 1);
+    }
+
+    /// Tells a caller why its connection ends, if it still listens.
+    async fn part(&self, channel: &mut Channel, err: &WireError) {
+        log::info!("G0401 a caller's connection ended: {err}");
+        if matches!(err, WireError::Malformed(_) | WireError::TooLarge(..)) {
+            let report = ErrorReport::fatal("08P01", err.to_string());
+            // The connection ends either way.
+            let _ = startup::refuse(channel, &report).await;
+        }
+    }
+
+    async fn converse(self: &Rc<Self>, channel: &mut Channel) -> Result<(), WireError> {
+        let clock = Rc::clone(&self.fleet.borders().clock);
+        let deadline = clock.now() + START_WITHIN;
+        let opening = within(&*clock, deadline, startup::open(channel));
+        // Half-open connections would otherwise gather until no caller finds a place.
+        let Ok(opening) = opening.await else { return Ok(()) };
+        let request = match opening? {
+            Opening::Session(request) => request,
+            Opening::Cancel { process, secret } => {
+                self.cancels.cancel(process, secret);
+                return Ok(());
+            }
+        };
+        if self.connected.get() > self.settings.limit {
+            let report = ErrorReport::fatal("53300", "too many callers on this instance")
+                .with_hint("not run; connect again, another instance may have room");
+            return startup::refuse(channel, &report).await;
+        }
+        let started = Box::pin(Session::start(self, channel, request));
+        let Ok(session) = within(&*clock, deadline, started).await else { return Ok(()) };
+        match session? {
+            Some(mut session) => session.serve(channel).await,
+            None => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gullspar_caller/src/lib.rs
@@ -0,0 +1,28 @@
+//! Callers: their connections, what their statements need, and where those go.
+
+mod caller_server;
+mod caller_sink;
+mod cancel_registry;
+mod classifier;
+mod lane_pool;
+mod local_command;
+mod request;
+mod request_reader;
+mod retry_budget;
+mod router;
+mod scram_exchange;
+mod session;
+mod session_state;
+mod startup;
+mod statement;
+mod statement_visitor;
+mod stats;
+
+pub use caller_server::{CallerServer, CallerSettings};
+pub use cancel_registry::CancelRegistry;
+pub use classifier::Classifier;
+pub use lane_pool::LanePool;
+pub use retry_budget::RetryBudget;
+pub use router::Router;
+pub use statement::{Statement, StatementKind};
+pub use stats::{CallerStats, RequestKind};
--- /dev/null
+++ b/crates/gullspar_caller/src/router.rs
@@ -0,0 +1,301 @@
+//! Chooses where a request goes, and whether it is tried again.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures::future;
+use gullspar_border::{jittered, within};
+use gullspar_fleet::Fleet;
+use gullspar_group::GroupWatch;
+use gullspar_model::{
+    Access, DataCentre, GroupSpec, InstanceRecord, MemberName, MemberSpec, NotRun, Outcome, Unknown,
+};
+use gullspar_target::{FrameSink, Unit};
+use gullspar_wire::LaneUnit;
+
+use crate::caller_sink::CallerSink;
+use crate::session_state::HeldLane;
+use crate::{LanePool, RetryBudget};
+
+/// How long opening a lane may take before another way is tried.
+const LANE_WITHIN: Duration = Duration::from_millis(300);
+
+/// A target that failed or was behind is avoided for so long, unless nothing else is left.
+const AVOID_FOR: Duration = Duration::from_millis(100);
+
+/// A target whose home can't be reached is avoided for so long.
+const AVOID_UNREACHABLE_FOR: Duration = Duration::from_millis(1500);
+
+/// Replicas tried for one read before the primary is.
+const REPLICA_TRIES: usize = 2;
+
+/// First and longest pause before a refused request is tried again.
+const FIRST_PAUSE: Duration = Duration::from_millis(20);
+const LONGEST_PAUSE: Duration = Duration::from_millis(200);
+
+/// One read in this many goes to a random replica, so that one that was slow is noticed when it has
+/// recovered.
+const EXPLORE_EVERY: u64 = 32;
+
+/// Weight of the newest sample in the running mean of a target's latency, as one part in this many.
+const MEAN_WEIGHT: u32 = 8;
+
+/// What was seen of a target lately.
+#[derive(Clone, Copy, Default)]
+struct TargetScore {
+    mean_latency: Duration,
+    avoid_until: Option<Instant>,
+}
+
+/// A request on its way.
+pub(crate) struct Routed<'r> {
+    pub(crate) unit: Unit,
+    pub(crate) group: &'r GroupSpec,
+    pub(crate) deadline: Instant,
+    /// Whether running it twice does no harm.
+    pub(crate) repeatable: bool,
+    /// Whether a replica may serve it.
+    pub(crate) replica_allowed: bool,
+}
+
+/// How a request ended, and the lane if it must be kept.
+pub(crate) struct Routing {
+    pub(crate) outcome: Outcome,
+    pub(crate) lane: Option<HeldLane>,
+    pub(crate) on_primary: bool,
+}
+
+/// Sends requests to targets.
+pub struct Router {
+    fleet: Rc<Fleet>,
+    lanes: Rc<LanePool>,
+    budget: RetryBudget,
+    scores: RefCell<HashMap<String, TargetScore>>,
+}
+
+impl Router {
+    /// A router over the lanes of `lanes`.
+    pub fn new(fleet: Rc<Fleet>, lanes: Rc<LanePool>) -> Rc<Router> {
+        Rc::new(Router {
+            fleet,
+            lanes,
+            budget: RetryBudget::default(),
+            scores: RefCell::default(),
+        })
+    }
+
+    /// Gives back a lane that is no longer needed.
+    pub(crate) fn give_back(&self, held: HeldLane) {
+        self.lanes.give_back(&held.home, held.lane);
+    }
+
+    /// Runs a request until it is done, its deadline passes, or it can't be tried again.
+    pub(crate) async fn route(
+        &self,
+        routed: &mut Routed<'_>,
+        sink: &mut CallerSink<'_>,
+        on_lane: &dyn Fn(Option<Rc<dyn Fn()>>),
+    ) -> Routing {
+        self.budget.fill();
+        let mut pause = FIRST_PAUSE;
+        loop {
+            let config = self.fleet.config.listen();
+            let members = self.fleet.listen();
+            let routing = self.try_targets(routed, sink, on_lane).await;
+            let again = match &routing.outcome {
+                Outcome::Done { .. } => false,
+                Outcome::NotRun(NotRun::Overloaded { .. }) => false,
+                Outcome::NotRun(reason) => reason.may_be_retried_elsewhere(),
+                Outcome::Unknown(reason) => {
+                    routed.repeatable && *reason != Unknown::DeadlinePassed && !sink.started
+                }
+            };
+            let clock = &self.fleet.borders().clock;
+            if !again || sink.started || clock.now() >= routed.deadline {
+                return routing;
+            }
+            // A change of leadership or of instances is the likeliest end of the trouble, and it is
+            // the only thing that lets a request go again when the budget is spent.
+            let paced = jittered(&*self.fleet.borders().entropy, pause);
+            let until = if self.budget.draw() {
+                clock.now() + paced
+            } else {
+                clock.now() + LONGEST_PAUSE.max(paced)
+            };
+            let news = future::select(config, members);
+            let _ = within(&**clock, until.min(routed.deadline), news).await;
+            pause = (pause * 2).min(LONGEST_PAUSE);
+        }
+    }
+
+    async fn try_targets(
+        &self,
+        routed: &mut Routed<'_>,
+        sink: &mut CallerSink<'_>,
+        on_lane: &dyn Fn(Option<Rc<dyn Fn()>>),
+    ) -> Routing {
+        let primary = self.primary(&routed.group.name);
+        if routed.replica_allowed {
+            for replica in self.replicas(routed.group, primary.as_ref()) {
+                routed.unit.head.on_primary = false;
+                let acknowledge = std::mem::replace(&mut routed.unit.head.acknowledge, false);
+                let routing = self.try_one(routed, replica, sink, on_lane).await;
+                routed.unit.head.acknowledge = acknowledge;
+                let settled = match &routing.outcome {
+                    Outcome::Done { .. } => true,
+                    Outcome::NotRun(_) => false,
+                    Outcome::Unknown(_) => sink.started || !routed.repeatable,
+                };
+                if settled {
+                    return routing;
+                }
+            }
+        }
+        routed.unit.head.on_primary = true;
+        let Some(primary) = primary.and_then(|it| routed.group.member(&it)) else {
+            let outcome = Outcome::NotRun(NotRun::NoPrimary);
+            return Routing { outcome, lane: None, on_primary: true };
+        };
+        self.try_one(routed, primary, sink, on_lane).await
+    }
+
+    fn primary(&self, group: &gullspar_model::GroupName) -> Option<MemberName> {
+        self.fleet.config.group(group).and_then(|it| it.object.primary.clone())
+    }
+
+    /// The replicas worth trying for a read, best first.
+    fn replicas<'g>(
+        &self,
+        group: &'g GroupSpec,
+        primary: Option<&MemberName>,
+    ) -> Vec<&'g MemberSpec> {
+        let now = self.fleet.borders().clock.now();
+        let own = self.fleet.data_centre();
+        let entropy = &self.fleet.borders().entropy;
+        let mut able: Vec<&MemberSpec> = group
+            .members
+            .iter()
+            .filter(|it| Some(&it.name) != primary && !it.leaving)
+            .filter(|it| self.score(group, &it.name).avoid_until.is_none_or(|at| at <= now))
+            .collect();
+        if entropy.next_u64().is_multiple_of(EXPLORE_EVERY) && !able.is_empty() {
+            let turn = entropy.next_u64() as usize % able.len();
+            able.rotate_left(turn);
+        } else {
+            able.sort_by_cached_key(|it| self.expected_latency(group, it, &own));
+        }
+        able.truncate(REPLICA_TRIES);
+        able
+    }
+
+    /// What a read will probably take there; one not tried yet counts as near when it is.
+    fn expected_latency(
+        &self,
+        group: &GroupSpec,
+        member: &MemberSpec,
+        own: &DataCentre,
+    ) -> Duration {
+        let mean = self.score(group, &member.name).mean_latency;
+        if mean.is_zero() && member.data_centre != *own { Duration::from_millis(1) } else { mean }
+    }
+
+    fn score(&self, group: &GroupSpec, member: &MemberName) -> TargetScore {
+        let key = GroupWatch::target_key(&group.name, member);
+        self.scores.borrow().get(&key).copied().unwrap_or_default()
+    }
+
+    async fn try_one(
+        &self,
+        routed: &mut Routed<'_>,
+        member: &MemberSpec,
+        sink: &mut CallerSink<'_>,
+        on_lane: &dyn Fn(Option<Rc<dyn Fn()>>),
+    ) -> Routing {
+        let on_primary = routed.unit.head.on_primary;
+        let key = GroupWatch::target_key(&routed.group.name, &member.name);
+        let Some(home) = self.fleet.home(&key, &member.data_centre) else {
+            let outcome = Outcome::NotRun(NotRun::Unreachable);
+            return Routing { outcome, lane: None, on_primary };
+        };
+        let clock = Rc::clone(&self.fleet.borders().clock);
+        let started = clock.now();
+        routed.unit.head.member = member.name.clone();
+        let remaining = routed.deadline.saturating_duration_since(started);
+        routed.unit.head.remaining_ms = remaining.as_millis() as u64;
+        let (outcome, lane) = self.run_on(&home, routed, sink, on_lane).await;
+        let took = clock.now().saturating_duration_since(started);
+        self.learn(key, &outcome, took, clock.now());
+        Routing { outcome, lane, on_primary }
+    }
+
+    async fn run_on(
+        &self,
+        home: &InstanceRecord,
+        routed: &Routed<'_>,
+        sink: &mut dyn FrameSink,
+        on_lane: &dyn Fn(Option<Rc<dyn Fn()>>),
+    ) -> (Outcome, Option<HeldLane>) {
+        let clock = Rc::clone(&self.fleet.borders().clock);
+        let deadline = routed.deadline.min(clock.now() + LANE_WITHIN);
+        let mut lane = match self.lanes.take(home, deadline).await {
+            Ok(lane) => lane,
+            Err(err) => {
+                log::debug!("G0306 no lane to {}: {err}", home.id);
+                return (Outcome::NotRun(NotRun::Unreachable), None);
+            }
+        };
+        on_lane(Some(lane.canceller()));
+        let result = lane.run(&routed.unit, sink).await;
+        on_lane(None);
+        match result {
+            Ok(outcome) => {
+                // A lane with an unknown outcome may still carry a late answer.
+                let sound = !matches!(outcome, Outcome::Unknown(_));
+                let held = sound.then(|| HeldLane { home: home.id.clone(), lane });
+                (outcome, held)
+            }
+            Err(err) if err.sent => {
+                log::debug!("G0307 a lane to {} broke: {}", home.id, err.source);
+                (lost_on_lane(&routed.unit.head), None)
+            }
+            Err(_) => (Outcome::NotRun(NotRun::Unreachable), None),
+        }
+    }
+
+    fn learn(&self, key: String, outcome: &Outcome, took: Duration, now: Instant) {
+        let mut scores = self.scores.borrow_mut();
+        let score = scores.entry(key).or_default();
+        match outcome {
+            Outcome::Done { .. } => {
+                let mean = score.mean_latency;
+                score.mean_latency = if mean.is_zero() {
+                    took
+                } else {
+                    (mean * (MEAN_WEIGHT - 1) + took) / MEAN_WEIGHT
+                };
+                score.avoid_until = None;
+            }
+            Outcome::NotRun(NotRun::Unreachable) => {
+                score.avoid_until = Some(now + AVOID_UNREACHABLE_FOR);
+            }
+            _ => score.avoid_until = Some(now + AVOID_FOR),
+        }
+    }
+}
+
+/// What is known of a unit whose lane broke after it was sent.
+pub(crate) fn lost_on_lane(head: &LaneUnit) -> Outcome {
+    if head.continues && !head.commits {
+        // The home closes the connection with its lane, so the transaction can't commit any more.
+        Outcome::NotRun(NotRun::TransactionLost)
+    } else {
+        Outcome::Unknown(Unknown::ConnectionLost)
+    }
+}
+
+/// Whether a unit reads only.
+pub(crate) fn reads_only(head: &LaneUnit) -> bool {
+    head.access == Access::Read
+}
--- /dev/null
+++ b/crates/gullspar_caller/src/session.rs
@@ -0,0 +1,714 @@
+//! One caller's session, from authentication to the end.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::{BufMut, BytesMut};
+use futures::future::{self, Either};
+use gullspar_model::{Access, NotRun, Outcome, Token, Unknown};
+use gullspar_target::Unit;
+use gullspar_wire::{
+    Channel, ErrorReport, Frame, LaneRequirement, LaneUnit, WireError, caller, command_complete,
+    parameter_status, ready, status, target,
+};
+
+use crate::caller_sink::CallerSink;
+use crate::cancel_registry::Registered;
+use crate::local_command::{LocalCommand, LocalSetting};
+use crate::request::{Request, RequestEnd};
+use crate::request_reader::{Incoming, RequestReader};
+use crate::router::{self, Routed, Routing};
+use crate::scram_exchange::{self, Verifier};
+use crate::session_state::{HeldLane, SessionState, TransactionState};
+use crate::startup::{self, SessionRequest};
+use crate::statement::StatementKind;
+use crate::{CallerServer, RequestKind};
+
+/// How long a read may wait for a replica to reach the session's floor before another target is
+/// tried; weighed in `docs/design/staleness.md`.
+const FLOOR_WAIT_MS: u64 = 20;
+
+/// What a request needs.
+struct Plan {
+    access: Access,
+    replica_allowed: bool,
+    acknowledge: bool,
+    commits: bool,
+    keep: bool,
+    dirties: bool,
+    anchors: bool,
+}
+
+/// A session that has been authenticated.
+pub(crate) struct Session {
+    server: Rc<CallerServer>,
+    state: SessionState,
+    reader: RequestReader,
+    registered: Registered,
+}
+
+impl Session {
+    /// Authenticates the caller and opens its session; `None` if it was refused.
+    pub(crate) async fn start(
+        server: &Rc<CallerServer>,
+        channel: &mut Channel,
+        request: SessionRequest,
+    ) -> Result<Option<Session>, WireError> {
+        let SessionRequest { service, caller, settings } = request;
+        let Some(versioned) = server.fleet.config.service(&service) else {
+            let text = format!("there is no service \"{service}\"");
+            startup::refuse(channel, &ErrorReport::fatal("3D000", text)).await?;
+            return Ok(None);
+        };
+        let object = versioned.object;
+        let spec = object.callers.get(&caller);
+        let verifier = spec.and_then(|it| Verifier::parse(&it.verifier));
+        let known = verifier.is_some();
+        let verifier = verifier.unwrap_or_else(Verifier::for_stranger);
+        let authentic = scram_exchange::authenticate(channel, verifier).await?;
+        let class = object.class_of(&caller).copied();
+        let (true, true, Some(class), Some(spec)) = (authentic, known, class, spec) else {
+            let text = format!("password authentication failed for \"{caller}\"");
+            startup::refuse(channel, &ErrorReport::fatal("28P01", text)).await?;
+            return Ok(None);
+        };
+        let state = SessionState {
+            class_name: spec.class.clone(),
+            service,
+            caller,
+            class,
+            floor: None,
+            anchored: false,
+            max_age_ms: None,
+            deadline_ms: None,
+            request_key: None,
+            settings: Vec::new(),
+            transaction: TransactionState::Idle,
+            pinned: false,
+            batch_open: false,
+            held: None,
+            object: Rc::clone(&object),
+        };
+        let registered = server.cancels.register(&*server.fleet.borders().entropy);
+        let mut session = Session {
+            server: Rc::clone(server),
+            state,
+            reader: RequestReader::default(),
+            registered,
+        };
+        for (name, value) in settings {
+            if let Err(report) = session.apply_startup_setting(&name, &value) {
+                startup::refuse(channel, &report).await?;
+                return Ok(None);
+            }
+        }
+        session.welcome(channel).await?;
+        Ok(Some(session))
+    }
+
+    fn apply_startup_setting(&mut self, name: &str, value: &str) -> Result<(), ErrorReport> {
+        let Some(own) = name.strip_prefix("gullspar.") else {
+            self.state.settings.push(format!("SET {name} = '{}'", value.replace('\'', "''")));
+            return Ok(());
+        };
+        let Some(setting) = LocalSetting::by_name(own) else {
+            let text = format!("unrecognized setting \"{name}\"");
+            return Err(ErrorReport::fatal("42704", text));
+        };
+        self.set(setting, value).map_err(|it| ErrorReport { severity: "FATAL".to_owned(), ..it })
+    }
+
+    async fn welcome(&self, channel: &mut Channel) -> Result<(), WireError> {
+        channel.queue(Frame::new(target::AUTHENTICATION, &[0; 4]).bytes());
+        for (name, value) in [
+            ("server_version", "16.0"),
+            ("server_encoding", "UTF8"),
+            ("client_encoding", "UTF8"),
+            ("standard_conforming_strings", "on"),
+            ("DateStyle", "ISO, MDY"),
+            ("integer_datetimes", "on"),
+        ] {
+            parameter_status(channel.outgoing(), name, value);
+        }
+        let mut key = BytesMut::new();
+        key.put_i32(self.registered.process);
+        key.put_i32(self.registered.secret);
+        channel.queue(Frame::new(target::BACKEND_KEY, &key).bytes());
+        channel.queue(ready(status::IDLE).bytes());
+        channel.flush().await
+    }
+
+    /// Serves requests until the caller leaves or the instance shuts down.
+    pub(crate) async fn serve(&mut self, channel: &mut Channel) -> Result<(), WireError> {
+        loop {
+            if !self.wait_for_request(channel).await? {
+                return Ok(());
+            }
+            let reading = self.reader.next(channel, &self.server.classifier);
+            match Box::pin(reading).await? {
+                Incoming::Terminate => return Ok(()),
+                Incoming::Request(req) => Box::pin(self.answer(channel, req)).await?,
+            }
+        }
+    }
+
+    /// Waits for the caller to send something; `false` when the session ends instead.
+    async fn wait_for_request(&mut self, channel: &mut Channel) -> Result<bool, WireError> {
+        if channel.has_unread() {
+            return Ok(true);
+        }
+        channel.release_memory();
+        loop {
+            let fleet = Rc::clone(&self.server.fleet);
+            let news = fleet.listen();
+            let idle = !self.state.continues();
+            if idle && fleet.is_leaving() {
+                // Nothing of this session is in flight; its caller finds another instance.
+                let report = ErrorReport::fatal(
+                    "57P01",
+                    "terminating connection: the instance is shutting down",
+                );
+                startup::refuse(channel, &report.with_hint("not run; connect again")).await?;
+                return Ok(false);
+            }
+            let readable = channel.wait_readable();
+            futures::pin_mut!(readable);
+            if !idle {
+                readable.await?;
+                return Ok(true);
+            }
+            // The same read must be awaited to its end: dropped, it might take bytes with it.
+            let mut news = news;
+            loop {
+                match future::select(readable, news).await {
+                    Either::Left((result, _)) => {
+                        result?;
+                        return Ok(true);
+                    }
+                    Either::Right(((), pending)) if !fleet.is_leaving() => {
+                        readable = pending;
+                        news = fleet.listen();
+                    }
+                    Either::Right(_) => break,
+                }
+            }
+        }
+    }
+
+    async fn answer(&mut self, channel: &mut Channel, req: Request) -> Result<(), WireError> {
+        if let TransactionState::Failed { on_target: false } = self.state.transaction {
+            return self.answer_in_lost_transaction(channel, &req).await;
+        }
+        if let Some(report) = refusal(&req) {
+            return self.fail(channel, &req, &report).await;
+        }
+        if let Some(command) = local_command(&req) {
+            return self.answer_locally(channel, &req, command).await;
+        }
+        let clock = Rc::clone(&self.server.fleet.borders().clock);
+        let started = clock.now();
+        let deadline = started + self.state.time_limit();
+        let plan = self.plan(&req);
+        if let Some(versioned) = self.server.fleet.config.service(&self.state.service) {
+            self.state.object = versioned.object;
+        }
+        let unit = self.unit(&req, &plan);
+        let mut sink = CallerSink::new(channel);
+        let continues = self.state.continues();
+        let routing = if continues {
+            self.run_on_held(&unit, &mut sink, deadline).await
+        } else {
+            self.route(&req, &plan, unit, &mut sink, deadline).await
+        };
+        let saw_error = sink.saw_error;
+        self.count(&plan, &routing, clock.now().saturating_duration_since(started));
+        self.settle(&req, &plan, &routing, saw_error);
+        self.conclude(channel, &req, routing, continues, deadline).await
+    }
+
+    fn plan(&self, req: &Request) -> Plan {
+        let on_replica = self.state.transaction == TransactionState::Open { on_primary: false };
+        let mut plan = Plan {
+            access: Access::Read,
+            replica_allowed: true,
+            acknowledge: true,
+            commits: false,
+            keep: self.state.pinned,
+            dirties: false,
+            anchors: false,
+        };
+        let open = matches!(self.state.transaction, TransactionState::Open { .. });
+        if req.statements.is_empty() {
+            // Nothing runs; what is only described may need the primary's newer schema.
+            plan.replica_allowed = req.described.iter().all(|it| it.is_read());
+            plan.acknowledge = false;
+            return plan;
+        }
+        let single = req.statements.len() == 1;
+        for statement in &req.statements {
+            match &statement.kind {
+                StatementKind::Data(Access::Read) => {}
+                StatementKind::Begin { read_only } if single => {
+                    plan.acknowledge = false;
+                    plan.replica_allowed = *read_only;
+                    plan.access = if *read_only { Access::Read } else { Access::Write };
+                    return plan;
+                }
+                StatementKind::Set | StatementKind::Reset if single => {
+                    plan.acknowledge = false;
+                    plan.dirties = true;
+                }
+                StatementKind::Pinning => {
+                    plan.keep = true;
+                    plan.access = Access::Write;
+                    plan.commits = !open;
+                }
+                StatementKind::Data(Access::Write) => {
+                    plan.access = Access::Write;
+                    plan.commits |= !open;
+                }
+                StatementKind::RollBack if single => {}
+                _ => {
+                    plan.access = Access::Write;
+                    plan.commits = true;
+                }
+            }
+        }
+        if open && !plan.commits {
+            plan.acknowledge = false;
+        }
+        if on_replica {
+            plan.acknowledge = false;
+            plan.commits = false;
+        }
+        if plan.access == Access::Write {
+            plan.replica_allowed = false;
+        } else if self.state.needs_anchor() && !open {
+            // The caller may have written through another instance and kept no token.
+            plan.replica_allowed = false;
+            plan.anchors = true;
+        }
+        plan
+    }
+
+    fn unit(&mut self, req: &Request, plan: &Plan) -> Unit {
+        let state = &mut self.state;
+        let marked = req.statements.first().and_then(|it| it.request_key.clone());
+        let request_key = marked.or_else(|| {
+            // The key given by SET goes with the next request that can commit.
+            if plan.commits { state.request_key.take() } else { None }
+        });
+        let on_primary = match state.transaction {
+            TransactionState::Open { on_primary } => on_primary,
+            _ => !plan.replica_allowed,
+        };
+        let head = LaneUnit {
+            service: state.service.clone(),
+            group: state.object.group.name.clone(),
+            member: "".into(),
+            caller: state.caller.clone(),
+            access: plan.access,
+            on_primary,
+            acknowledge: plan.acknowledge,
+            continues: state.continues(),
+            commits: plan.commits,
+            keep: plan.keep,
+            dirties: plan.dirties,
+            settings: state.settings.clone(),
+            priority: state.class.priority,
+            remaining_ms: 0,
+            requirement: LaneRequirement {
+                floor: state.floor,
+                max_age_ms: state.age_limit_ms(),
+                wait_ms: FLOOR_WAIT_MS,
+                confirm: plan.anchors,
+            },
+            request_key,
+            payload: req.payload.len() as u64,
+        };
+        Unit { head, payload: req.payload.clone() }
+    }
+
+    async fn run_on_held(
+        &mut self,
+        unit: &Unit,
+        sink: &mut CallerSink<'_>,
+        deadline: Instant,
+    ) -> Routing {
+        let on_primary = unit.head.on_primary;
+        let Some(mut held) = self.state.held.take() else {
+            let outcome = Outcome::NotRun(NotRun::TransactionLost);
+            return Routing { outcome, lane: None, on_primary };
+        };
+        let clock = Rc::clone(&self.server.fleet.borders().clock);
+        let mut unit = unit.clone();
+        let remaining = deadline.saturating_duration_since(clock.now());
+        unit.head.remaining_ms = remaining.as_millis() as u64;
+        self.registered.set_running(Some(held.lane.canceller()));
+        let result = held.lane.run(&unit, sink).await;
+        self.registered.set_running(None);
+        match result {
+            Ok(outcome) => {
+                let sound = !matches!(outcome, Outcome::Unknown(_));
+                let lane = sound.then_some(held);
+                Routing { outcome, lane, on_primary }
+            }
+            Err(_) => {
+                let outcome = router::lost_on_lane(&unit.head);
+                Routing { outcome, lane: None, on_primary }
+            }
+        }
+    }
+
+    async fn route(
+        &mut self,
+        req: &Request,
+        plan: &Plan,
+        unit: Unit,
+        sink: &mut CallerSink<'_>,
+        deadline: Instant,
+    ) -> Routing {
+        let marked = req.statements.iter().all(|it| it.idempotent);
+        let repeatable =
+            router::reads_only(&unit.head) || marked || unit.head.request_key.is_some();
+        let object = Rc::clone(&self.state.object);
+        let mut routed = Routed {
+            unit,
+            group: &object.group,
+            deadline,
+            repeatable,
+            replica_allowed: plan.replica_allowed,
+        };
+        let registered = &self.registered;
+        let on_lane = |cancel: Option<Rc<dyn Fn()>>| registered.set_running(cancel);
+        self.server.router.route(&mut routed, sink, &on_lane).await
+    }
+
+    fn count(&self, plan: &Plan, routing: &Routing, took: Duration) {
+        let kind = match (plan.access, routing.on_primary) {
+            (Access::Write, _) => RequestKind::Write,
+            (Access::Read, true) => RequestKind::PrimaryRead,
+            (Access::Read, false) => RequestKind::ReplicaRead,
+        };
+        let state = &self.state;
+        self.server.stats.count(
+            &state.service,
+            &state.class_name,
+            &state.class,
+            kind,
+            &routing.outcome,
+            took,
+        );
+    }
+
+    /// Takes what the request changed over into the session.
+    fn settle(&mut self, req: &Request, plan: &Plan, routing: &Routing, saw_error: bool) {
+        let Outcome::Done { point, .. } = &routing.outcome else { return };
+        if let Some(point) = point
+            && (plan.commits || plan.anchors)
+        {
+            self.state.raise_floor(*point);
+            self.state.anchored = true;
+        }
+        if saw_error {
+            return;
+        }
+        match req.statements.as_slice() {
+            [one] if one.kind == StatementKind::Set => {
+                self.state.settings.extend(req.text.clone());
+            }
+            [one] if one.kind == StatementKind::Reset => {
+                self.state.settings.clear();
+                self.reader.forget();
+            }
+            _ => {}
+        }
+        self.state.pinned |= plan.keep;
+    }
+
+    async fn conclude(
+        &mut self,
+        channel: &mut Channel,
+        req: &Request,
+        routing: Routing,
+        continued: bool,
+        deadline: Instant,
+    ) -> Result<(), WireError> {
+        let Routing { outcome, lane, on_primary } = routing;
+        match outcome {
+            Outcome::Done { status: byte, .. } => {
+                self.adopt_status(byte, on_primary, lane);
+                if req.end == RequestEnd::Flush {
+                    return channel.flush().await;
+                }
+                self.report_token(channel);
+                channel.queue(ready(byte).bytes());
+                channel.flush().await
+            }
+            Outcome::NotRun(reason) => {
+                let lost = continued || reason == NotRun::TransactionLost;
+                let was_open = self.state.transaction != TransactionState::Idle;
+                self.give_up_lane(if lost { None } else { lane });
+                if was_open {
+                    self.state.transaction = TransactionState::Failed { on_target: false };
+                }
+                self.fail(channel, req, &not_run_report(reason)).await
+            }
+            Outcome::Unknown(reason) => {
+                self.give_up_lane(None);
+                self.state.transaction = TransactionState::Idle;
+                log::info!("G0402 a request of {} ended unknown: {reason:?}", self.state.service);
+                let late = self.server.fleet.borders().clock.now() >= deadline;
+                self.fail(channel, req, &unknown_report(reason, late)).await
+            }
+        }
+    }
+
+    fn adopt_status(&mut self, byte: u8, on_primary: bool, lane: Option<HeldLane>) {
+        let before = self.state.transaction;
+        self.state.batch_open = byte == BATCH_OPEN;
+        self.state.transaction = match byte {
+            status::IN_TRANSACTION => TransactionState::Open { on_primary },
+            status::FAILED => TransactionState::Failed { on_target: true },
+            BATCH_OPEN => before,
+            _ => TransactionState::Idle,
+        };
+        self.state.held = lane;
+        if !self.state.continues() {
+            let lane = self.state.held.take();
+            self.give_up_lane(lane);
+        }
+    }
+
+    fn give_up_lane(&mut self, lane: Option<HeldLane>) {
+        self.state.held = None;
+        self.state.batch_open = false;
+        if let Some(lane) = lane {
+            self.server.router.give_back(lane);
+        }
+    }
+
+    /// Answers a request of a transaction that is gone, until the caller ends it.
+    ///
+    /// Answered otherwise, a caller that overlooked the error would run the rest of its transaction
+    /// as single statements.
+    async fn answer_in_lost_transaction(
+        &mut self,
+        channel: &mut Channel,
+        req: &Request,
+    ) -> Result<(), WireError> {
+        let ends = req.statements.iter().any(|it| {
+            matches!(it.kind, StatementKind::Commit | StatementKind::RollBack)
+        });
+        if !ends {
+            let report = ErrorReport::error("25P02", "the transaction was lost and must be ended")
+                .with_hint("not run; roll back and begin again");
+            return self.fail(channel, req, &report).await;
+        }
+        self.state.transaction = TransactionState::Idle;
+        complete_locally(channel, &req.kinds, None, "ROLLBACK");
+        self.finish(channel, req).await
+    }
+
+    async fn answer_locally(
+        &mut self,
+        channel: &mut Channel,
+        req: &Request,
+        command: LocalCommand,
+    ) -> Result<(), WireError> {
+        let result = match command {
+            LocalCommand::Set { setting, value } => self.set(setting, &value).map(|()| None),
+            LocalCommand::Show { setting } => Ok(Some((setting, self.show(setting)))),
+            LocalCommand::Unknown { name } => {
+                let text = format!("unrecognized setting \"gullspar.{name}\"");
+                Err(ErrorReport::error("42704", text))
+            }
+        };
+        match result {
+            Err(report) => self.fail(channel, req, &report).await,
+            Ok(shown) => {
+                let tag = if shown.is_some() { "SHOW" } else { "SET" };
+                let row = shown.as_ref().map(|(setting, value)| (setting.name(), value.as_str()));
+                complete_locally(channel, &req.kinds, row, tag);
+                self.finish(channel, req).await
+            }
+        }
+    }
+
+    fn set(&mut self, setting: LocalSetting, value: &str) -> Result<(), ErrorReport> {
+        let invalid = |what: String| ErrorReport::error("22023", what);
+        let number = |value: &str| {
+            let parsed: Result<u64, _> = value.parse();
+            parsed.map_err(|_| invalid(format!("{}: \"{value}\" is no number", setting.name())))
+        };
+        match setting {
+            LocalSetting::Token => {
+                let key = &self.server.settings.token_key;
+                let token = key.open(value, &self.state.caller);
+                let token = token.map_err(|err| invalid(format!("gullspar.token: {err}")))?;
+                if token.group != self.state.object.group.name {
+                    return Err(invalid("gullspar.token: it is of another service".to_owned()));
+                }
+                self.state.raise_floor(token.point);
+                self.state.anchored = true;
+            }
+            LocalSetting::MaxAgeMs => self.state.max_age_ms = Some(number(value)?),
+            LocalSetting::DeadlineMs => self.state.deadline_ms = Some(number(value)?),
+            LocalSetting::RequestKey => {
+                if self.state.transaction != TransactionState::Idle {
+                    let text = "gullspar.request_key goes with single requests, not transactions";
+                    return Err(ErrorReport::error("25001", text));
+                }
+                self.state.request_key = (!value.is_empty()).then(|| value.to_owned());
+            }
+            LocalSetting::Instance => {
+                return Err(ErrorReport::error("55P02", "gullspar.instance can't be set"));
+            }
+        }
+        Ok(())
+    }
+
+    fn show(&self, setting: LocalSetting) -> String {
+        let number = |it: Option<u64>| it.map_or(String::new(), |it| it.to_string());
+        match setting {
+            LocalSetting::Token => self.token().unwrap_or_default(),
+            LocalSetting::MaxAgeMs => number(self.state.age_limit_ms()),
+            LocalSetting::DeadlineMs => self.state.time_limit().as_millis().to_string(),
+            LocalSetting::RequestKey => self.state.request_key.clone().unwrap_or_default(),
+            LocalSetting::Instance => self.server.fleet.id().to_string(),
+        }
+    }
+
+    fn token(&self) -> Option<String> {
+        let point = self.state.floor?;
+        let token = Token { group: self.state.object.group.name.clone(), point };
+        Some(self.server.settings.token_key.seal(&token, &self.state.caller))
+    }
+
+    fn report_token(&self, channel: &mut Channel) {
+        if let Some(token) = self.token() {
+            parameter_status(channel.outgoing(), LocalSetting::Token.name(), &token);
+        }
+    }
+
+    /// Answers a request with an error.
+    async fn fail(
+        &mut self,
+        channel: &mut Channel,
+        req: &Request,
+        report: &ErrorReport,
+    ) -> Result<(), WireError> {
+        report.encode(channel.outgoing());
+        if req.end == RequestEnd::Flush {
+            skip_to_sync(channel).await?;
+        }
+        if matches!(self.state.transaction, TransactionState::Open { .. }) {
+            self.state.transaction = TransactionState::Failed { on_target: false };
+            self.give_up_lane(None);
+        }
+        self.finish(channel, req).await
+    }
+
+    async fn finish(&mut self, channel: &mut Channel, req: &Request) -> Result<(), WireError> {
+        if req.end == RequestEnd::Flush && channel.queued() == 0 {
+            return Ok(());
+        }
+        let byte = match self.state.transaction {
+            TransactionState::Idle => status::IDLE,
+            TransactionState::Open { .. } => status::IN_TRANSACTION,
+            TransactionState::Failed { .. } => status::FAILED,
+        };
+        channel.queue(ready(byte).bytes());
+        channel.flush().await
+    }
+}
+
+/// Status byte of a unit that ended with a Flush.
+const BATCH_OPEN: u8 = b'F';
+
+/// After an error within a batch the caller's messages are skipped up to its Sync.
+async fn skip_to_sync(channel: &mut Channel) -> Result<(), WireError> {
+    channel.flush().await?;
+    while channel.next().await?.kind() != caller::SYNC {}
+    Ok(())
+}
+
+fn refusal(req: &Request) -> Option<ErrorReport> {
+    req.statements.iter().chain(&req.described).find_map(|it| match it.kind {
+        StatementKind::Refused(why) => {
+            Some(ErrorReport::error("0A000", why).with_hint("not run"))
+        }
+        _ => None,
+    })
+}
+
+/// The command of a request that gullspar answers itself.
+fn local_command(req: &Request) -> Option<LocalCommand> {
+    let statement = req.statements.first().or(req.described.first())?;
+    match &statement.kind {
+        StatementKind::Local(command) => Some(command.clone()),
+        _ => None,
+    }
+}
+
+/// Answers each message of a request as a target would.
+fn complete_locally(channel: &mut Channel, kinds: &[u8], row: Option<(&str, &str)>, tag: &str) {
+    let description = row.map(|(name, _)| text_column(name));
+    for kind in kinds {
+        match *kind {
+            caller::QUERY => {
+                if let Some(description) = &description {
+                    channel.queue(description.bytes());
+                }
+                queue_row(channel, row, tag);
+            }
+            caller::PARSE => channel.queue(Frame::new(target::PARSE_COMPLETE, &[]).bytes()),
+            caller::BIND => channel.queue(Frame::new(target::BIND_COMPLETE, &[]).bytes()),
+            caller::CLOSE => channel.queue(Frame::new(target::CLOSE_COMPLETE, &[]).bytes()),
+            caller::DESCRIBE => match &description {
+                Some(description) => channel.queue(description.bytes()),
+                None => channel.queue(Frame::new(target::NO_DATA, &[]).bytes()),
+            },
+            caller::EXECUTE => queue_row(channel, row, tag),
+            _ => {}
+        }
+    }
+}
+
+fn queue_row(channel: &mut Channel, row: Option<(&str, &str)>, tag: &str) {
+    if let Some((_, value)) = row {
+        let mut body = BytesMut::new();
+        body.put_u16(1);
+        body.put_i32(value.len() as i32);
+        body.put_slice(value.as_bytes());
+        channel.queue(Frame::new(target::DATA_ROW, &body).bytes());
+    }
+    channel.queue(command_complete(tag).bytes());
+}
+
+fn text_column(name: &str) -> Frame {
+    /// PostgreSQL's number of the type `text`.
+    const TEXT: u32 = 25;
+    let mut body = BytesMut::new();
+    body.put_u16(1);
+    body.put_slice(name.as_bytes());
+    body.put_u8(0);
+    body.put_u32(0);
+    body.put_u16(0);
+    body.put_u32(TEXT);
+    body.put_i16(-1);
+    body.put_i32(-1);
+    body.put_u16(0);
+    Frame::new(target::ROW_DESCRIPTION, &body)
+}
+
+fn not_run_report(reason: NotRun) -> ErrorReport {
+    let hint = format!("not run; retry after {} ms", reason.retry_after_ms());
+    ErrorReport::error(reason.sql_state(), format!("not run: {}", reason.text())).with_hint(hint)
+}
+
+fn unknown_report(reason: Unknown, late: bool) -> ErrorReport {
+    let text = if late { "deadline passed, outcome unknown" } else { "outcome unknown" };
+    ErrorReport::error(Unknown::SQL_STATE, format!("{text}: {}", reason.text()))
+        .with_hint("unknown; repeat it only with the same request key, or if it is idempotent")
+}
--- /dev/null
+++ b/crates/gullspar_caller/src/session_state.rs
@@ -0,0 +1,89 @@
+//! What a session remembers between requests.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use gullspar_model::{
+    CallerClass, CallerName, Consistency, InstanceId, LogPoint, ServiceName, ServiceObject,
+};
+use gullspar_target::Lane;
+
+/// Whether a transaction is open, and where.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum TransactionState {
+    Idle,
+    Open { on_primary: bool },
+    /// The target failed it, or it was lost; only its end is accepted.
+    Failed { on_target: bool },
+}
+
+/// A lane that carries this session's transaction or session state.
+pub(crate) struct HeldLane {
+    pub(crate) home: InstanceId,
+    pub(crate) lane: Box<dyn Lane>,
+}
+
+/// A session's identity, its floor and its transaction.
+pub(crate) struct SessionState {
+    pub(crate) service: ServiceName,
+    pub(crate) object: Rc<ServiceObject>,
+    pub(crate) caller: CallerName,
+    pub(crate) class_name: String,
+    pub(crate) class: CallerClass,
+    /// What reads must see.
+    pub(crate) floor: Option<LogPoint>,
+    /// Whether the floor covers everything that the caller wrote before this session.
+    pub(crate) anchored: bool,
+    pub(crate) max_age_ms: Option<u64>,
+    pub(crate) deadline_ms: Option<u64>,
+    pub(crate) request_key: Option<String>,
+    /// SET statements of the session, replayed on each connection that serves it.
+    pub(crate) settings: Vec<String>,
+    pub(crate) transaction: TransactionState,
+    /// Whether the session keeps its connection for good.
+    pub(crate) pinned: bool,
+    /// Whether a batch was flushed and not yet ended.
+    pub(crate) batch_open: bool,
+    pub(crate) held: Option<HeldLane>,
+}
+
+impl SessionState {
+    /// The oldest data that reads accept, beside the floor.
+    pub(crate) fn age_limit_ms(&self) -> Option<u64> {
+        let class = match self.class.consistency {
+            Consistency::MaxAgeMs(limit) => Some(limit),
+            Consistency::ReadYourWrites | Consistency::AnyAge => None,
+        };
+        match (class, self.max_age_ms) {
+            (Some(class), Some(own)) => Some(class.min(own)),
+            (class, own) => class.or(own),
+        }
+    }
+
+    /// Whether the next read must first learn how far the caller's earlier writes went.
+    pub(crate) fn needs_anchor(&self) -> bool {
+        self.class.consistency == Consistency::ReadYourWrites && !self.anchored
+    }
+
+    /// Time within which a request must be answered.
+    pub(crate) fn time_limit(&self) -> Duration {
+        let class = self.class.deadline_ms;
+        Duration::from_millis(self.deadline_ms.map_or(class, |own| own.min(class)))
+    }
+
+    /// Raises the floor; it never falls.
+    pub(crate) fn raise_floor(&mut self, point: LogPoint) {
+        self.floor = Some(self.floor.map_or(point, |it| it.max(point)));
+    }
+
+    /// Whether the next request must use the held lane.
+    pub(crate) fn continues(&self) -> bool {
+        self.held.is_some()
+            && (self.pinned
+                || self.batch_open
+                || matches!(
+                    self.transaction,
+                    TransactionState::Open { .. } | TransactionState::Failed { on_target: true }
+                ))
+    }
+}
--- /dev/null
+++ b/crates/gullspar_fleet/src/config_store.rs
@@ -0,0 +1,120 @@
+//! The configuration that this instance has in force.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use event_listener::{Event, EventListener};
+use gullspar_border::{ConfigEntry, ObjectVersion};
+use gullspar_model::{GroupName, GroupObject, ServiceName, ServiceObject};
+
+use crate::weight;
+
+/// A service's configuration and its version.
+#[derive(Clone, Debug)]
+pub struct VersionedService {
+    pub version: ObjectVersion,
+    pub object: Rc<ServiceObject>,
+}
+
+/// A group's leadership and its version.
+#[derive(Clone, Debug)]
+pub struct VersionedGroup {
+    pub version: ObjectVersion,
+    pub object: Rc<GroupObject>,
+}
+
+/// Objects applied so far, each only ever upward.
+#[derive(Default)]
+pub struct ConfigStore {
+    entries: RefCell<BTreeMap<String, ConfigEntry>>,
+    services: RefCell<BTreeMap<ServiceName, VersionedService>>,
+    groups: RefCell<BTreeMap<GroupName, VersionedGroup>>,
+    digest: Cell<u64>,
+    changed: Event,
+}
+
+impl ConfigStore {
+    /// Puts `entry` in force unless the same or a newer version is.
+    ///
+    /// Answers of the platform and of other instances arrive in any order. Without the comparison a
+    /// late one would put an old configuration back in force, seen as status flapping between two
+    /// versions.
+    pub fn apply(&self, entry: &ConfigEntry) -> bool {
+        let known = self.version(&entry.key);
+        if entry.version <= known {
+            return false;
+        }
+        if let Err(err) = self.take(entry) {
+            // A version that can't be read must not stop the one in force.
+            log::error!("G0201 {} version {} is unreadable: {err}", entry.key, entry.version.0);
+            return false;
+        }
+        let mark = |version: ObjectVersion| weight(&entry.key, &version.0.to_string());
+        let removed = if known == ObjectVersion::default() { 0 } else { mark(known) };
+        self.digest.set(self.digest.get() ^ removed ^ mark(entry.version));
+        self.entries.borrow_mut().insert(entry.key.clone(), entry.clone());
+        self.changed.notify(usize::MAX);
+        true
+    }
+
+    fn take(&self, entry: &ConfigEntry) -> Result<(), serde_json::Error> {
+        let version = entry.version;
+        if let Some(name) = entry.key.strip_prefix(ServiceObject::PREFIX) {
+            let object = Rc::new(serde_json::from_str(&entry.value)?);
+            let service = VersionedService { version, object };
+            self.services.borrow_mut().insert(ServiceName::new(name), service);
+        } else if let Some(name) = entry.key.strip_prefix(GroupObject::PREFIX) {
+            let object = Rc::new(serde_json::from_str(&entry.value)?);
+            let group = VersionedGroup { version, object };
+            self.groups.borrow_mut().insert(GroupName::new(name), group);
+        }
+        Ok(())
+    }
+
+    /// The version in force of the object at `key`; 0 for none.
+    pub fn version(&self, key: &str) -> ObjectVersion {
+        self.entries.borrow().get(key).map_or(ObjectVersion::default(), |it| it.version)
+    }
+
+    /// A number that two instances share exactly when they hold the same versions.
+    pub fn digest(&self) -> u64 {
+        self.digest.get()
+    }
+
+    /// The service `name`.
+    pub fn service(&self, name: &ServiceName) -> Option<VersionedService> {
+        self.services.borrow().get(name).cloned()
+    }
+
+    /// All services.
+    pub fn services(&self) -> Vec<(ServiceName, VersionedService)> {
+        self.services.borrow().iter().map(|(name, it)| (name.clone(), it.clone())).collect()
+    }
+
+    /// Who leads the group `name`.
+    pub fn group(&self, name: &GroupName) -> Option<VersionedGroup> {
+        self.groups.borrow().get(name).cloned()
+    }
+
+    /// Keys and versions of all objects.
+    pub fn versions(&self) -> Vec<(String, ObjectVersion)> {
+        self.entries.borrow().values().map(|it| (it.key.clone(), it.version)).collect()
+    }
+
+    /// The objects that are newer here than in `known`.
+    pub fn newer_than(&self, known: &[(String, ObjectVersion)]) -> Vec<ConfigEntry> {
+        let known: BTreeMap<&str, ObjectVersion> =
+            known.iter().map(|(key, version)| (key.as_str(), *version)).collect();
+        let entries = self.entries.borrow();
+        let newer = entries
+            .values()
+            .filter(|it| known.get(it.key.as_str()).is_none_or(|version| *version < it.version));
+        newer.cloned().collect()
+    }
+
+    /// Notified at each change; take it before reading, so that no change is missed.
+    pub fn listen(&self) -> EventListener {
+        self.changed.listen()
+    }
+}
--- /dev/null
+++ b/crates/gullspar_fleet/src/timing.rs
@@ -0,0 +1,30 @@
+//! How often instances talk to each other.
+
+use std::time::Duration;
+
+/// The pace of membership; tests and benches set their own.
+///
+/// The defaults let a dead instance's targets be taken over within 2 s; what they cost is
+/// measured in `docs/CAPACITY.md`.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetTiming {
+    /// Between two gossip exchanges of an instance.
+    pub gossip_every: Duration,
+    /// How long an exchange may take before the other one counts as silent.
+    pub answer_within: Duration,
+    /// How long a suspect may object before it is declared dead.
+    pub suspect_for: Duration,
+    /// How long a platform watch waits.
+    pub watch_for: Duration,
+}
+
+impl Default for FleetTiming {
+    fn default() -> FleetTiming {
+        FleetTiming {
+            gossip_every: Duration::from_millis(200),
+            answer_within: Duration::from_millis(250),
+            suspect_for: Duration::from_millis(500),
+            watch_for: Duration::from_secs(10),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gullspar_group/src/group_watch.rs
@@ -0,0 +1,296 @@
+//! One group as this instance observes it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use event_listener::Event;
+use gullspar_border::{PrimaryView, within};
+use gullspar_fleet::{Borders, Fleet};
+use gullspar_model::{
+    GroupName, GroupSpec, LogPoint, LogPosition, MemberName, MemberStatus, NotRun, Term, Unknown,
+};
+
+use crate::{GroupTiming, MemberView, Reading, ReadingHistory};
+
+/// Who leads a group, as far as is known here.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Leader {
+    pub term: Term,
+    pub member: MemberName,
+}
+
+/// The state of a group that this instance holds at least one member of.
+pub struct GroupWatch {
+    pub(crate) name: GroupName,
+    pub(crate) fleet: Rc<Fleet>,
+    pub(crate) timing: GroupTiming,
+    pub(crate) spec: RefCell<Rc<GroupSpec>>,
+    pub(crate) views: RefCell<BTreeMap<MemberName, MemberView>>,
+    readings: RefCell<ReadingHistory>,
+    /// Before this instant silence proves nothing: this process itself was paused.
+    trust_silence_after: Cell<Instant>,
+    /// When the claim last seen on the platform was first seen.
+    pub(crate) claim_seen: Cell<(Term, Instant)>,
+    changed: Event,
+    pub(crate) ended: Cell<bool>,
+}
+
+impl GroupWatch {
+    pub(crate) fn new(
+        name: GroupName,
+        spec: Rc<GroupSpec>,
+        fleet: Rc<Fleet>,
+        timing: GroupTiming,
+    ) -> Rc<GroupWatch> {
+        let now = fleet.borders().clock.now();
+        let views = spec.members.iter().map(|it| (it.name.clone(), MemberView::new(now)));
+        Rc::new(GroupWatch {
+            name,
+            timing,
+            views: RefCell::new(views.collect()),
+            spec: RefCell::new(spec),
+            readings: RefCell::default(),
+            trust_silence_after: Cell::new(now + timing.failed_after),
+            claim_seen: Cell::new((Term(0), now)),
+            changed: Event::new(),
+            ended: Cell::new(false),
+            fleet,
+        })
+    }
+
+    pub(crate) fn borders(&self) -> &Borders {
+        self.fleet.borders()
+    }
+
+    pub(crate) fn now(&self) -> Instant {
+        self.borders().clock.now()
+    }
+
+    /// The group's name.
+    pub fn name(&self) -> GroupName {
+        self.name.clone()
+    }
+
+    /// The group's members as configured.
+    pub fn spec(&self) -> Rc<GroupSpec> {
+        Rc::clone(&self.spec.borrow())
+    }
+
+    /// The key by which a member's home is found.
+    pub fn target_key(group: &GroupName, member: &MemberName) -> String {
+        format!("{group}/{member}")
+    }
+
+    /// What was last seen of a member.
+    pub fn view(&self, member: &MemberName) -> Option<MemberView> {
+        self.views.borrow().get(member).copied()
+    }
+
+    /// The leader: the highest term's, by what members say or by what the platform says.
+    pub fn leader(&self) -> Option<Leader> {
+        let configured = self.fleet.config.group(&self.name).and_then(|it| {
+            let member = it.object.primary.clone()?;
+            Some(Leader { term: it.object.term, member })
+        });
+        let views = self.views.borrow();
+        let seen = views.iter().filter_map(|(member, view)| {
+            let status = view.status?;
+            let leads = status.leads(status.term);
+            leads.then(|| Leader { term: status.term, member: member.clone() })
+        });
+        seen.chain(configured).max_by_key(|it| it.term)
+    }
+
+    /// Takes over a changed configuration of the group.
+    pub(crate) fn adopt(&self, spec: Rc<GroupSpec>) {
+        let now = self.now();
+        let mut views = self.views.borrow_mut();
+        views.retain(|name, _| spec.member(name).is_some());
+        for member in &spec.members {
+            views.entry(member.name.clone()).or_insert_with(|| MemberView::new(now));
+        }
+        drop(views);
+        *self.spec.borrow_mut() = spec;
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Notes an answer of a member.
+    pub(crate) fn heard(&self, member: &MemberName, status: MemberStatus, asked_at: Instant) {
+        let now = self.now();
+        {
+            let mut views = self.views.borrow_mut();
+            let Some(view) = views.get_mut(member) else { return };
+            *view = MemberView { status: Some(status), asked_at, heard_at: now, refusing: false };
+        }
+        self.note_reading();
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Notes that a member refuses connections.
+    pub(crate) fn refused(&self, member: &MemberName) {
+        if let Some(view) = self.views.borrow_mut().get_mut(member) {
+            view.refusing = true;
+        }
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Notes that this process was paused: all silence until now may be its own.
+    pub(crate) fn was_paused(&self) {
+        self.trust_silence_after.set(self.now() + self.timing.failed_after);
+    }
+
+    fn note_reading(&self) {
+        let Some(leader) = self.leader() else { return };
+        let Some(confirmed) = self.confirmed_as_of(leader.term) else { return };
+        let Some(view) = self.view(&leader.member) else { return };
+        let Some(status) = view.status.filter(|it| it.leads(leader.term)) else { return };
+        let point = LogPoint { term: leader.term, position: status.position };
+        let as_of = confirmed.min(view.asked_at);
+        self.readings.borrow_mut().add(Reading { as_of, point });
+    }
+
+    /// The latest instant at which a majority is known to have taken part in `term`.
+    ///
+    /// At that instant no higher term had fenced a majority, so nothing had been acknowledged
+    /// under one.
+    pub fn confirmed_as_of(&self, term: Term) -> Option<Instant> {
+        let mut asked: Vec<Instant> = self
+            .views
+            .borrow()
+            .values()
+            .filter(|it| it.status.is_some_and(|it| it.takes_part_in(term)))
+            .map(|it| it.asked_at)
+            .collect();
+        asked.sort_unstable_by_key(|it| std::cmp::Reverse(*it));
+        asked.get(self.spec.borrow().majority() - 1).copied()
+    }
+
+    /// Whether a majority was heard lately taking part in `term`.
+    pub fn majority_in_sight(&self, term: Term) -> bool {
+        let now = self.now();
+        let in_sight = self
+            .views
+            .borrow()
+            .values()
+            .filter(|it| it.heard_at + self.timing.failed_after > now)
+            .filter(|it| it.status.is_some_and(|it| it.takes_part_in(term)))
+            .count();
+        in_sight >= self.spec.borrow().majority()
+    }
+
+    /// Whether a majority holds the log of `term` up to `position`.
+    pub fn is_acknowledged(&self, term: Term, position: LogPosition) -> bool {
+        let holding = self
+            .views
+            .borrow()
+            .values()
+            .filter_map(|it| it.status)
+            .filter(|it| it.takes_part_in(term) && it.position >= position)
+            .count();
+        holding >= self.spec.borrow().majority()
+    }
+
+    /// Waits until a majority holds `point`.
+    ///
+    /// This is what makes an answer an acknowledgement: whoever promotes later must first fence a
+    /// majority, which shares a member with this one, and takes the longest log it finds there.
+    pub async fn wait_acknowledged(
+        &self,
+        point: LogPoint,
+        deadline: Instant,
+    ) -> Result<(), Unknown> {
+        self.wait_until(deadline, || {
+            if self.is_acknowledged(point.term, point.position) {
+                return Some(Ok(()));
+            }
+            let superseded = self.leader().is_some_and(|it| it.term > point.term);
+            superseded.then_some(Err(Unknown::Superseded))
+        })
+        .await
+        .unwrap_or(Err(Unknown::NotAcknowledged))
+    }
+
+    /// Waits until the leadership of `term` is confirmed for an instant not before `since`.
+    pub async fn wait_confirmed(
+        &self,
+        term: Term,
+        since: Instant,
+        deadline: Instant,
+    ) -> Result<(), NotRun> {
+        self.wait_until(deadline, || {
+            let confirmed = self.confirmed_as_of(term).is_some_and(|it| it >= since);
+            confirmed.then_some(Ok(()))
+        })
+        .await
+        .unwrap_or(Err(NotRun::NoMajority))
+    }
+
+    /// Waits until `member` satisfies the floor and the age that a read asks for.
+    pub async fn wait_fresh(
+        &self,
+        member: &MemberName,
+        floor: Option<LogPoint>,
+        max_age: Option<Duration>,
+        deadline: Instant,
+    ) -> Result<(), NotRun> {
+        self.wait_until(deadline, || {
+            let status = self.view(member).and_then(|it| it.status)?;
+            if floor.is_some_and(|it| !status.covers(it)) {
+                return None;
+            }
+            let Some(max_age) = max_age else { return Some(Ok(())) };
+            let age = self.age(member)?;
+            (age <= max_age).then_some(Ok(()))
+        })
+        .await
+        .unwrap_or(Err(NotRun::Behind))
+    }
+
+    /// How old a member's data is at most; `None` where no reading tells.
+    pub fn age(&self, member: &MemberName) -> Option<Duration> {
+        let status = self.view(member)?.status?;
+        let as_of = self.readings.borrow().fresh_as_of(&status)?;
+        Some(self.now().saturating_duration_since(as_of))
+    }
+
+    /// How long ago `instant` was.
+    pub fn elapsed(&self, instant: Instant) -> Duration {
+        self.now().saturating_duration_since(instant)
+    }
+
+    /// Checks `ready` now and after each change until it tells, or the deadline passes.
+    pub(crate) async fn wait_until<T>(
+        &self,
+        deadline: Instant,
+        mut ready: impl FnMut() -> Option<T>,
+    ) -> Option<T> {
+        loop {
+            let changed = self.changed.listen();
+            if let Some(output) = ready() {
+                return Some(output);
+            }
+            if self.now() >= deadline || self.ended.get() {
+                return None;
+            }
+            // Time running out is seen by the check above.
+            let _ = within(&*self.borders().clock, deadline, changed).await;
+        }
+    }
+
+    /// How this instance sees the primary of `term`.
+    pub fn view_of_primary(&self, term: Term) -> PrimaryView {
+        let Some(leader) = self.leader().filter(|it| it.term == term) else {
+            return PrimaryView::NoView;
+        };
+        let now = self.now();
+        if now < self.trust_silence_after.get() {
+            return PrimaryView::NoView;
+        }
+        let Some(view) = self.view(&leader.member) else { return PrimaryView::NoView };
+        let patience =
+            if view.refusing { self.timing.refused_after } else { self.timing.failed_after };
+        if now > view.heard_at + patience { PrimaryView::Failed } else { PrimaryView::Answers }
+    }
+}
--- /dev/null
+++ b/crates/gullspar_group/src/member_view.rs
@@ -0,0 +1,24 @@
+//! What an instance has seen of a member.
+
+use std::time::Instant;
+
+use gullspar_model::MemberStatus;
+
+/// The last answer of a member and when it was asked for and heard.
+#[derive(Clone, Copy, Debug)]
+pub struct MemberView {
+    pub status: Option<MemberStatus>,
+    /// When the call was sent whose answer `status` is: the status is not older than this.
+    pub asked_at: Instant,
+    /// When it was last heard of; the start of observation before the first answer.
+    pub heard_at: Instant,
+    /// Whether its last sign was an outright refusal of the connection.
+    pub refusing: bool,
+}
+
+impl MemberView {
+    /// Nothing seen since `now`.
+    pub fn new(now: Instant) -> MemberView {
+        MemberView { status: None, asked_at: now, heard_at: now, refusing: false }
+    }
+}
--- /dev/null
+++ b/crates/gullspar_group/src/suspicion.rs
@@ -0,0 +1,203 @@
+//! Deciding that a primary has failed.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use gullspar_border::{PeerReply, PeerRequest, PrimaryView};
+use gullspar_model::{GroupObject, InstanceId, InstanceRecord, MemberRole};
+
+use crate::{GroupWatch, Leader, Promotion};
+
+/// How often the state of a group is judged.
+const JUDGE_EVERY: Duration = Duration::from_millis(50);
+
+/// A longer gap between two looks means that this process was paused.
+const PAUSED: Duration = Duration::from_millis(300);
+
+/// How long the others may take to tell how they see a primary.
+const VIEWS_WITHIN: Duration = Duration::from_millis(150);
+
+/// Pause after a promotion that did not succeed.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Why a group needs another primary.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Need {
+    /// Nobody has led the group yet.
+    NoPrimary,
+    /// The primary does not answer.
+    Silent,
+    /// The primary answers, but does not lead the term any more.
+    Deposed,
+    /// Somebody claimed a term and did not finish.
+    AbandonedClaim,
+    /// The primary is configured to leave.
+    Leaving,
+}
+
+impl GroupWatch {
+    /// Judges the group until the watch ends, and promotes when that is needed.
+    pub(crate) async fn judge(self: Rc<Self>) {
+        let mut last = self.now();
+        let mut needed_since: Option<Instant> = None;
+        while !self.ended.get() {
+            let now = self.now();
+            if now > last + PAUSED {
+                // What looks like everybody's silence was our own: judged on it, a paused instance
+                // would depose a healthy primary the moment it wakes.
+                log::info!("G0206 this instance was paused, silence of {} is discounted", self.name);
+                self.was_paused();
+                needed_since = None;
+            }
+            last = now;
+            match self.need() {
+                None => needed_since = None,
+                Some(need) => {
+                    let since = *needed_since.get_or_insert(now);
+                    if now >= since + self.patience(need) && self.others_agree(need).await {
+                        self.promote(need).await;
+                        needed_since = None;
+                        // The next look must not take the promotion for a pause.
+                        last = self.now();
+                    }
+                }
+            }
+            let next = self.now() + JUDGE_EVERY;
+            self.borders().clock.sleep_until(next).await;
+        }
+    }
+
+    fn need(&self) -> Option<Need> {
+        let group = self.fleet.config.group(&self.name);
+        let object = group.as_ref().map(|it| Rc::clone(&it.object));
+        let claimed_ahead = object.as_ref().is_some_and(|it| it.claimed > it.term);
+        if object.as_ref().is_some_and(|it| self.is_being_promoted(it)) {
+            return None;
+        }
+        let Some(leader) = self.leader() else {
+            return Some(if claimed_ahead { Need::AbandonedClaim } else { Need::NoPrimary });
+        };
+        if self.view_of_primary(leader.term) == PrimaryView::Failed {
+            return Some(Need::Silent);
+        }
+        let status = self.view(&leader.member).and_then(|it| it.status);
+        if status.is_some_and(|it| !it.leads(leader.term)) {
+            return Some(Need::Deposed);
+        }
+        if claimed_ahead && object.is_some_and(|it| it.claimed > leader.term) {
+            return Some(Need::AbandonedClaim);
+        }
+        self.leaving_can_be_replaced(&leader).then_some(Need::Leaving)
+    }
+
+    /// Whether another instance claimed a term so lately that it is probably at work.
+    ///
+    /// Without this check every instance that sees the failure claims on top of the others' claims,
+    /// each claim fences the members that the one before was about to promote, and none succeeds.
+    fn is_being_promoted(&self, object: &GroupObject) -> bool {
+        if object.claimed <= object.term || object.claim.starts_with(self.fleet.id().as_str()) {
+            return false;
+        }
+        let now = self.now();
+        let (term, seen_at) = self.claim_seen.get();
+        if term != object.claimed {
+            self.claim_seen.set((object.claimed, now));
+            return true;
+        }
+        now < seen_at + self.timing.claim_abandoned_after
+    }
+
+    fn leaving_can_be_replaced(&self, leader: &Leader) -> bool {
+        let spec = self.spec();
+        let leaving = spec.member(&leader.member).is_none_or(|it| it.leaving);
+        let views = self.views.borrow();
+        let able = spec.members.iter().filter(|it| !it.leaving).any(|it| {
+            let status = views.get(&it.name).and_then(|it| it.status);
+            status.is_some_and(|it| {
+                it.role == MemberRole::Replica && it.takes_part_in(leader.term)
+            })
+        });
+        leaving && able
+    }
+
+    /// How long a need must last before this instance acts.
+    ///
+    /// The instances that hold members take turns, so that two claims at once are rare; safety does
+    /// not depend on it.
+    fn patience(&self, need: Need) -> Duration {
+        let base = match need {
+            Need::Silent => Duration::ZERO,
+            Need::Leaving | Need::NoPrimary => 2 * JUDGE_EVERY,
+            Need::Deposed => self.timing.failed_after,
+            Need::AbandonedClaim => self.timing.step_within,
+        };
+        base + self.timing.claim_step * self.turn()
+    }
+
+    fn turn(&self) -> u32 {
+        let mut homes: Vec<InstanceId> = self.member_homes().into_iter().map(|it| it.id).collect();
+        homes.dedup();
+        homes.sort_by_cached_key(|it| gullspar_fleet::weight(self.name.as_str(), it.as_str()));
+        homes.dedup();
+        let own = self.fleet.id();
+        homes.iter().position(|it| *it == own).unwrap_or(homes.len()) as u32
+    }
+
+    /// The home of each member, in the order of the members.
+    pub(crate) fn member_homes(&self) -> Vec<InstanceRecord> {
+        let spec = self.spec();
+        let homes = spec.members.iter().filter_map(|it| {
+            let key = GroupWatch::target_key(&self.name, &it.name);
+            self.fleet.home(&key, &it.data_centre)
+        });
+        homes.collect()
+    }
+
+    /// Whether the homes of a majority of members see the primary as failed.
+    ///
+    /// One instance's broken link must not depose a primary that everybody else reaches.
+    async fn others_agree(&self, need: Need) -> bool {
+        if need != Need::Silent {
+            return true;
+        }
+        let Some(leader) = self.leader() else { return false };
+        let homes = self.member_homes();
+        let own = self.fleet.id();
+        let deadline = self.now() + VIEWS_WITHIN;
+        let mut asked: Vec<&InstanceRecord> = Vec::new();
+        for home in homes.iter().filter(|it| it.id != own) {
+            if !asked.iter().any(|it| it.id == home.id) {
+                asked.push(home);
+            }
+        }
+        let calls = asked.iter().map(|home| async {
+            let req = PeerRequest::ViewOfPrimary { group: self.name.clone(), term: leader.term };
+            let reply = self.borders().peers.call(home.peer, req, deadline).await;
+            (matches!(reply, Ok(PeerReply::View(PrimaryView::Failed))), home.id.clone())
+        });
+        let answers = futures::future::join_all(calls).await;
+        let failed = |id: &InstanceId| {
+            *id == own || answers.iter().any(|(failed, home)| *failed && home == id)
+        };
+        let votes = homes.iter().filter(|it| failed(&it.id)).count();
+        votes >= self.spec.borrow().majority()
+    }
+
+    async fn promote(self: &Rc<Self>, need: Need) {
+        log::warn!("G0207 {} needs another primary: {need:?}", self.name);
+        let base = self.leader().map_or(GroupObject::unclaimed().term, |it| it.term);
+        let graceful = matches!(need, Need::Leaving);
+        match Promotion::new(Rc::clone(self)).run(base, graceful).await {
+            Ok(leader) => {
+                log::warn!("G0208 {} is led by {} in term {}", self.name, leader.member, leader.term.0);
+            }
+            Err(err) => {
+                log::warn!("G0209 promoting in {} failed: {err}", self.name);
+                let pause =
+                    gullspar_border::jittered(&*self.borders().entropy, RETRY_PAUSE);
+                let deadline = self.now() + pause;
+                self.borders().clock.sleep_until(deadline).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gullspar_group/src/target_control.rs
@@ -0,0 +1,156 @@
+//! The control functions of a target, as described in `docs/design/target-contract.md`.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
+
+use gullspar_border::{Clock, Dialer, within};
+use gullspar_model::{
+    LogPosition, MemberName, MemberRole, MemberStatus, Term,
+};
+use gullspar_wire::{QueryClient, QueryRow, WireError};
+use quick_error::quick_error;
+
+quick_error! {
+    /// Why a target did not do what was asked.
+    #[derive(Debug)]
+    pub enum TargetError {
+        /// It could not be reached, or broke off.
+        Unreachable(reason: String) {
+            display("the target can't be reached: {reason}")
+        }
+        /// It refuses connections outright, as a stopped one does.
+        Refusing(reason: String) {
+            display("the target refuses connections: {reason}")
+        }
+        /// It did not answer in time.
+        Silent {
+            display("the target did not answer in time")
+        }
+        /// It answered that it will not do it.
+        Refused(reason: String) {
+            display("the target refused: {reason}")
+        }
+    }
+}
+
+impl From<WireError> for TargetError {
+    fn from(err: WireError) -> TargetError {
+        match err {
+            WireError::Server(report) => TargetError::Refused(report.message),
+            other => TargetError::Unreachable(other.to_string()),
+        }
+    }
+}
+
+/// Asks a target for its status without waiting.
+pub const STATUS_NOW: &str = "SELECT * FROM group_status(0, 0, 0, 0)";
+
+/// A control connection to one target.
+pub struct TargetControl {
+    client: QueryClient,
+    clock: Rc<dyn Clock>,
+}
+
+impl TargetControl {
+    /// The account that control connections use.
+    pub const USER: &'static str = "gullspar_control";
+
+    /// Opens a control connection.
+    pub async fn open(
+        dialer: &dyn Dialer,
+        clock: Rc<dyn Clock>,
+        address: SocketAddr,
+        deadline: Instant,
+    ) -> Result<TargetControl, TargetError> {
+        let link = dialer.dial(address, deadline).await.map_err(|err| match err.kind() {
+            std::io::ErrorKind::TimedOut => TargetError::Silent,
+            _ => TargetError::Refusing(err.to_string()),
+        })?;
+        let start = QueryClient::start(link, TargetControl::USER, "postgres");
+        let started = within(&*clock, deadline, start).await.map_err(|_| TargetError::Silent)?;
+        let client = started.map_err(|err| match err {
+            WireError::Closed | WireError::Io(_) => TargetError::Refusing(err.to_string()),
+            other => other.into(),
+        })?;
+        Ok(TargetControl { client, clock })
+    }
+
+    /// Waits for a status other than `known`, at most `wait_ms`.
+    pub async fn status(
+        &mut self,
+        known: Option<MemberStatus>,
+        wake_on_position: bool,
+        wait_ms: u64,
+        deadline: Instant,
+    ) -> Result<MemberStatus, TargetError> {
+        /// A position that no log reaches, for those that don't want to be woken by it.
+        const NEVER: u64 = i64::MAX as u64;
+        let sql = match known {
+            None => STATUS_NOW.to_owned(),
+            Some(known) => {
+                let position = if wake_on_position { known.position.0 } else { NEVER };
+                format!(
+                    "SELECT * FROM group_status({}, {}, {position}, {wait_ms})",
+                    known.term.0, known.fence.0
+                )
+            }
+        };
+        self.call(&sql, deadline).await
+    }
+
+    /// Makes the target refuse all lower terms, and reads what it has after that.
+    pub async fn fence(
+        &mut self,
+        term: Term,
+        deadline: Instant,
+    ) -> Result<MemberStatus, TargetError> {
+        self.call(&format!("SELECT * FROM group_fence({})", term.0), deadline).await
+    }
+
+    /// Makes the target the primary of a term that it was fenced at.
+    pub async fn promote(
+        &mut self,
+        term: Term,
+        deadline: Instant,
+    ) -> Result<MemberStatus, TargetError> {
+        self.call(&format!("SELECT * FROM group_promote({})", term.0), deadline).await
+    }
+
+    /// Makes the target follow the primary of a term, dropping what that one doesn't have.
+    pub async fn follow(
+        &mut self,
+        term: Term,
+        primary: &MemberName,
+        deadline: Instant,
+    ) -> Result<MemberStatus, TargetError> {
+        let sql = format!("SELECT * FROM group_follow({}, '{primary}')", term.0);
+        self.call(&sql, deadline).await
+    }
+
+    async fn call(&mut self, sql: &str, deadline: Instant) -> Result<MemberStatus, TargetError> {
+        let clock = Rc::clone(&self.clock);
+        let rows = within(&*clock, deadline, self.client.query(sql))
+            .await
+            .map_err(|_| TargetError::Silent)??;
+        let row = rows.first().and_then(read_status);
+        row.ok_or_else(|| TargetError::Refused("the status can't be read".to_owned()))
+    }
+}
+
+/// Reads the row that every control function answers with.
+pub fn read_status(row: &QueryRow) -> Option<MemberStatus> {
+    let number = |index: usize| row.get(index)?.as_deref()?.parse::<u64>().ok();
+    let role = match row.first()?.as_deref()? {
+        "primary" => MemberRole::Primary,
+        "replica" => MemberRole::Replica,
+        _ => MemberRole::Detached,
+    };
+    Some(MemberStatus {
+        role,
+        term: Term(number(1)?),
+        fence: Term(number(2)?),
+        last_record_term: Term(number(3)?),
+        position: LogPosition(number(4)?),
+    })
+}
--- /dev/null
+++ b/crates/gullspar_instance/src/lib.rs
@@ -0,0 +1,10 @@
+//! One instance: all parts put together behind its borders.
+
+mod instance;
+mod peer_side;
+mod report;
+mod termination;
+
+pub use gullspar_net::enter_timer_context;
+pub use instance::{Instance, InstanceError, InstanceTiming, system_borders};
+pub use termination::termination;
--- /dev/null
+++ b/crates/gullspar_instance/src/termination.rs
@@ -0,0 +1,17 @@
+//! Signals that end a process in good order.
+
+use futures::future;
+
+/// `SIGINT` and `SIGTERM` on Linux.
+const INTERRUPT: i32 = 2;
+const TERMINATE: i32 = 15;
+
+/// Waits for SIGINT or SIGTERM.
+pub async fn termination() {
+    let interrupt = compio::signal::unix::signal(INTERRUPT);
+    let terminate = compio::signal::unix::signal(TERMINATE);
+    futures::pin_mut!(interrupt, terminate);
+    // Whichever comes first ends the wait; one that can't be waited for ends the process, which is
+    // seen at once and loses nothing.
+    let _ = future::select(interrupt, terminate).await;
+}
--- /dev/null
+++ b/crates/gullspar_lab/src/lab.rs
@@ -0,0 +1,309 @@
+//! A platform, database groups and instances in one process.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::channel::oneshot;
+use futures::future;
+use gullspar_instance::InstanceTiming;
+use gullspar_model::{
+    CallerSpec, DataCentre, GroupName, GroupObject, GroupSpec, MemberName, MemberSpec, ServiceObject, record,
+};
+use gullspar_net::StoredInstance;
+use gullspar_settings::InstanceSettings;
+use quick_error::quick_error;
+
+use crate::group::{GroupSettings, MemberCounts, MemberSettings, run_group};
+use crate::lab_settings::{LabService, verifier};
+use crate::platform::{PlatformStore, run_platform};
+use crate::{Faults, InstanceAddresses, LabInstance, LabInstanceSettings, LabSettings, Network};
+
+quick_error! {
+    /// Why a lab could not start.
+    #[derive(Debug)]
+    pub enum LabError {
+        /// No address or thread to be had.
+        Io(err: io::Error) {
+            from()
+            source(err)
+            display("{err}")
+        }
+    }
+}
+
+record! {
+    /// Where a stand-in target listens.
+    pub struct LabTarget {
+        pub group: GroupName,
+        pub member: MemberName,
+        pub data_centre: DataCentre,
+        pub address: SocketAddr,
+    }
+}
+
+record! {
+    /// Where everything of a lab listens.
+    pub struct LabAddresses {
+        pub platform: SocketAddr,
+        /// Where faults are set; `None` for a lab within a test.
+        pub control: Option<SocketAddr>,
+        pub instances: Vec<InstanceAddresses>,
+        pub targets: Vec<LabTarget>,
+    }
+}
+
+/// A thread that runs a stand-in until it is told to end.
+struct StandIn {
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<std::thread::JoinHandle<()>>,
+}
+
+impl StandIn {
+    fn start<F>(make: impl FnOnce() -> F + Send + 'static) -> StandIn
+    where
+        F: Future<Output = io::Result<()>>,
+    {
+        let (tx, rx) = oneshot::channel::<()>();
+        let thread = std::thread::spawn(move || {
+            let runtime = match compio::runtime::Runtime::new() {
+                Ok(runtime) => runtime,
+                Err(err) => return log::error!("L0103 a stand-in has no runtime: {err}"),
+            };
+            runtime.block_on(async {
+                let serve = make();
+                futures::pin_mut!(serve);
+                if let future::Either::Left((Err(err), _)) = future::select(serve, rx).await {
+                    log::error!("L0103 a stand-in ended: {err}");
+                }
+            });
+        });
+        StandIn { stop: Some(tx), thread: Some(thread) }
+    }
+}
+
+impl Drop for StandIn {
+    fn drop(&mut self) {
+        drop(self.stop.take());
+        if let Some(thread) = self.thread.take() {
+            // A panicked stand-in has been reported by its own message.
+            let _ = thread.join();
+        }
+    }
+}
+
+/// A running lab.
+pub struct Lab {
+    pub faults: Arc<Faults>,
+    pub store: Arc<PlatformStore>,
+    /// What each target counted, by `group/member`.
+    pub counts: BTreeMap<String, Arc<MemberCounts>>,
+    pub instances: Vec<LabInstance>,
+    pub addresses: LabAddresses,
+    pub network: Arc<Network>,
+    settings: LabSettings,
+    timing: InstanceTiming,
+    _stand_ins: Vec<StandIn>,
+}
+
+impl Lab {
+    /// Starts everything that `settings` describe, at the default pace.
+    pub fn start(settings: LabSettings) -> Result<Lab, LabError> {
+        Lab::start_with(settings, InstanceTiming::default())
+    }
+
+    /// Starts everything that `settings` describe.
+    pub fn start_with(settings: LabSettings, timing: InstanceTiming) -> Result<Lab, LabError> {
+        let faults = Faults::new();
+        let one_way = Duration::from_micros(settings.one_way_us);
+        let network = Network::new(one_way, Arc::clone(&faults));
+        let store = Arc::new(PlatformStore::default());
+        let platform = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let mut addresses = LabAddresses {
+            platform: platform.local_addr()?,
+            control: None,
+            instances: Vec::new(),
+            targets: Vec::new(),
+        };
+        let mut stand_ins = vec![start_platform(platform, &store, &faults)];
+        let mut counts = BTreeMap::new();
+        for service in &settings.services {
+            let started =
+                start_group(&settings, service, &network, &faults, &mut counts, &mut addresses)?;
+            stand_ins.push(started);
+            seed_service(service, &addresses, &store)?;
+        }
+        let mut lab = Lab {
+            faults,
+            store,
+            counts,
+            instances: Vec::new(),
+            addresses,
+            network,
+            timing,
+            _stand_ins: stand_ins,
+            settings,
+        };
+        for instance in lab.settings.instances.clone() {
+            lab.add_instance(&instance)?;
+        }
+        Ok(lab)
+    }
+
+    /// Starts one more instance.
+    pub fn add_instance(&mut self, instance: &LabInstanceSettings) -> Result<(), LabError> {
+        let settings = self.instance_settings(instance)?;
+        let network = Arc::clone(&self.network);
+        let started = LabInstance::start(settings, self.timing, network);
+        self.addresses.instances.push(started.addresses.clone());
+        self.instances.push(started);
+        self.list_instances();
+        Ok(())
+    }
+
+    /// Brings the platform's list of instances up to date.
+    pub fn list_instances(&self) {
+        let running = self.instances.iter().filter(|it| it.is_running());
+        let listed = running.map(|it| StoredInstance {
+            id: it.addresses.id.to_string(),
+            peer: it.addresses.peer,
+            leaving: false,
+        });
+        self.store.set_instances(listed.collect());
+    }
+
+    fn instance_settings(
+        &self,
+        instance: &LabInstanceSettings,
+    ) -> Result<InstanceSettings, LabError> {
+        let seeds = self.instances.iter().take(3).map(|it| it.addresses.peer).collect();
+        Ok(InstanceSettings {
+            id: instance.id.clone(),
+            data_centre: instance.data_centre.clone(),
+            caller_address: free_address()?,
+            peer_address: free_address()?,
+            lane_address: free_address()?,
+            operator_address: free_address()?,
+            platform_address: self.addresses.platform,
+            seeds,
+            lane_secret: "lab lanes".to_owned(),
+            token_secret: "lab tokens".to_owned(),
+            caller_limit: 20_000,
+            gossip_ms: 200,
+            status_wait_ms: 100,
+            failed_after_ms: 500,
+            drain_ms: 10_000,
+        })
+    }
+
+    /// Whether every group has a primary, by what the platform holds.
+    pub fn is_led(&self) -> bool {
+        self.settings.services.iter().all(|it| self.primary(it.group.as_str()).is_some())
+    }
+
+    /// The primary of a group, by what the platform holds.
+    pub fn primary(&self, group: &str) -> Option<MemberName> {
+        let stored = self.store.get(&format!("{}{group}", GroupObject::PREFIX))?;
+        serde_json::from_value::<GroupObject>(stored.value).ok()?.primary
+    }
+
+    /// The targets of a group.
+    pub fn targets<'l>(&'l self, group: &'l str) -> impl Iterator<Item = &'l LabTarget> {
+        self.addresses.targets.iter().filter(move |it| it.group.as_str() == group)
+    }
+}
+
+/// An address that nobody listens on at this moment.
+fn free_address() -> io::Result<SocketAddr> {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+}
+
+fn start_platform(
+    listener: TcpListener,
+    store: &Arc<PlatformStore>,
+    faults: &Arc<Faults>,
+) -> StandIn {
+    let (store, faults) = (Arc::clone(store), Arc::clone(faults));
+    StandIn::start(move || async move {
+        let listener = compio::net::TcpListener::from_std(listener)?;
+        run_platform(listener, store, faults).await
+    })
+}
+
+fn start_group(
+    settings: &LabSettings,
+    service: &LabService,
+    network: &Network,
+    faults: &Arc<Faults>,
+    counts: &mut BTreeMap<String, Arc<MemberCounts>>,
+    addresses: &mut LabAddresses,
+) -> Result<StandIn, LabError> {
+    let mut listeners = Vec::new();
+    let mut own_counts = Vec::new();
+    for member in &service.members {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let address = listener.local_addr()?;
+        network.place(address, &member.data_centre);
+        addresses.targets.push(LabTarget {
+            group: service.group.clone(),
+            member: member.name.clone(),
+            data_centre: member.data_centre.clone(),
+            address,
+        });
+        let count = Arc::new(MemberCounts::default());
+        counts.insert(format!("{}/{}", service.group, member.name), Arc::clone(&count));
+        own_counts.push(count);
+        listeners.push(listener);
+    }
+    let members = service.members.iter().map(|it| MemberSettings {
+        name: it.name.clone(),
+        data_centre: it.data_centre.clone(),
+        slots: service.slots,
+        connections: service.connections,
+    });
+    let group = GroupSettings {
+        name: service.group.clone(),
+        members: members.collect(),
+        lag_ms: settings.lag_ms,
+        promotion_ms: settings.promotion_ms,
+        connection_cost_ms: settings.connection_cost_ms,
+        statement_us: settings.statement_us,
+        schema: settings.full_schema(),
+    };
+    let faults = Arc::clone(faults);
+    Ok(StandIn::start(move || run_group(group, listeners, faults, own_counts)))
+}
+
+/// Writes the service's configuration to the platform, as if operators had done so before.
+fn seed_service(
+    service: &LabService,
+    addresses: &LabAddresses,
+    store: &PlatformStore,
+) -> Result<(), LabError> {
+    let targets = addresses.targets.iter().filter(|it| it.group == service.group);
+    let members = targets.map(|it| MemberSpec {
+        name: it.member.clone(),
+        address: it.address,
+        data_centre: it.data_centre.clone(),
+        slots: service.slots,
+        connections: service.connections,
+        leaving: false,
+    });
+    let callers = service.callers.iter().map(|(name, it)| {
+        let spec = CallerSpec { class: it.class.clone(), verifier: verifier(&it.password, name) };
+        (name.clone(), spec)
+    });
+    let object = ServiceObject {
+        group: GroupSpec { name: service.group.clone(), members: members.collect() },
+        classes: service.classes.clone(),
+        callers: callers.collect(),
+        written_by: "lab".to_owned(),
+    };
+    let value = serde_json::to_value(&object).map_err(io::Error::other)?;
+    let key = format!("{}{}", ServiceObject::PREFIX, service.service);
+    // The store is new, so nothing stands in the way.
+    let _ = store.put(&key, 0, value);
+    Ok(())
+}
--- /dev/null
+++ b/crates/gullspar_lab/src/lib.rs
@@ -0,0 +1,22 @@
+//! Stand-ins for the outside world, and a lab that runs them with instances in one process.
+//!
+//! They are small fakes at the borders: enough to run a real client's SQL and to set faults, no
+//! model of a cluster.
+
+mod borders;
+mod control_server;
+mod faults;
+pub mod group;
+mod lab;
+mod lab_instance;
+mod lab_settings;
+mod network;
+pub mod platform;
+
+pub use control_server::{LabCommand, run_control};
+pub use faults::{FaultChange, Faults, TargetFault};
+pub use lab::{Lab, LabAddresses, LabError, LabTarget};
+pub use gullspar_instance::termination;
+pub use lab_instance::{InstanceAddresses, LabInstance};
+pub use lab_settings::{LabCaller, LabInstanceSettings, LabMember, LabService, LabSettings, verifier};
+pub use network::Network;
--- /dev/null
+++ b/crates/gullspar_lab/src/network.rs
@@ -0,0 +1,41 @@
+//! Which address is in which data centre, and what lies between.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use gullspar_model::DataCentre;
+
+use crate::Faults;
+
+/// The lab's network: loopback, with the delays and cuts of the place it stands for.
+pub struct Network {
+    places: Mutex<HashMap<SocketAddr, DataCentre>>,
+    one_way: Duration,
+    pub(crate) faults: Arc<Faults>,
+}
+
+impl Network {
+    /// A network with `one_way` between data centres.
+    pub fn new(one_way: Duration, faults: Arc<Faults>) -> Arc<Network> {
+        Arc::new(Network { places: Mutex::default(), one_way, faults })
+    }
+
+    /// Notes where an address is.
+    pub fn place(&self, address: SocketAddr, data_centre: &DataCentre) {
+        let mut places = self.places.lock().unwrap_or_else(PoisonError::into_inner);
+        places.insert(address, data_centre.clone());
+    }
+
+    /// Where an address is.
+    pub(crate) fn place_of(&self, address: SocketAddr) -> Option<DataCentre> {
+        let places = self.places.lock().unwrap_or_else(PoisonError::into_inner);
+        places.get(&address).cloned()
+    }
+
+    /// The time from one data centre to another and back.
+    pub(crate) fn round_trip(&self, from: &DataCentre, to: &DataCentre) -> Duration {
+        if from == to { Duration::ZERO } else { 2 * self.one_way }
+    }
+}
--- /dev/null
+++ b/crates/gullspar_model/src/lib.rs
@@ -0,0 +1,35 @@
+//! The words of gullspar: names, positions, tokens, outcomes and the objects kept on the platform.
+//!
+//! Nothing in here does input or output; every other package speaks in these types.
+//! The terms are explained in `docs/GLOSSARY.md`.
+
+mod access;
+mod caller_class;
+mod fence;
+mod group_object;
+mod group_spec;
+mod instance_record;
+mod log_point;
+mod member_spec;
+mod member_status;
+mod names;
+mod outcome;
+mod record;
+mod service_object;
+mod token;
+mod token_key;
+
+pub use access::Access;
+pub use caller_class::{CallerClass, Consistency};
+pub use fence::FenceDecision;
+pub use group_object::{GroupObject, TermStart};
+pub use group_spec::GroupSpec;
+pub use instance_record::{InstanceRecord, InstanceState};
+pub use log_point::{LogPoint, LogPosition, Term};
+pub use member_spec::MemberSpec;
+pub use member_status::{MemberRole, MemberStatus};
+pub use names::{CallerName, DataCentre, GroupName, InstanceId, MemberName, ServiceName};
+pub use outcome::{NotRun, Outcome, SqlState, Unknown};
+pub use service_object::{CallerSpec, ServiceObject};
+pub use token::Token;
+pub use token_key::{TokenError, TokenKey};
--- /dev/null
+++ b/crates/gullspar_net/src/lib.rs
@@ -0,0 +1,24 @@
+//! The real sides of the borders: TCP, the platform over HTTP, calls between instances over tarpc,
+//! the system's clock and randomness.
+
+mod http_platform;
+mod peer_codec;
+mod peer_server;
+mod peer_service;
+mod platform_types;
+mod system_clock;
+mod system_entropy;
+mod tarpc_peers;
+mod tcp_dialer;
+mod tcp_link;
+mod timer_context;
+
+pub use http_platform::HttpPlatform;
+pub use peer_server::serve_peers;
+pub use platform_types::{InstanceList, ObjectList, PutBody, PutReply, StoredInstance, WireObject};
+pub use system_clock::SystemClock;
+pub use system_entropy::SystemEntropy;
+pub use tarpc_peers::TarpcPeers;
+pub use tcp_dialer::TcpDialer;
+pub use tcp_link::TcpLink;
+pub use timer_context::enter_timer_context;
--- /dev/null
+++ b/crates/gullspar_net/src/peer_server.rs
@@ -0,0 +1,76 @@
+//! Answers calls of other instances.
+
+use std::rc::Rc;
+
+use compio::io::framed::Framed;
+use compio::io::framed::frame::LengthDelimited;
+use compio::net::{TcpListener, TcpStream};
+use futures::channel::{mpsc, oneshot};
+use futures::{StreamExt, TryStreamExt};
+use gullspar_border::{PeerHandler, PeerReply, PeerRequest};
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+
+use crate::peer_codec::PeerCodec;
+use crate::peer_service::PeerService;
+
+/// A call on its way to the instance's own thread state.
+type Incoming = (PeerRequest, oneshot::Sender<PeerReply>);
+
+/// Hands calls over to the handler's task: tarpc's server must be `Send`, the instance's state,
+/// which lives on one thread, is not.
+#[derive(Clone)]
+struct Forwarder {
+    tx: mpsc::UnboundedSender<Incoming>,
+}
+
+impl PeerService for Forwarder {
+    async fn call(self, _: Context, req: PeerRequest) -> PeerReply {
+        let (tx, rx) = oneshot::channel();
+        // A closed channel means that the instance is ending; the caller sees its call unanswered.
+        let _ = self.tx.unbounded_send((req, tx));
+        match rx.await {
+            Ok(reply) => reply,
+            Err(_) => std::future::pending().await,
+        }
+    }
+}
+
+/// Accepts other instances on `listener` for as long as the task lives.
+pub async fn serve_peers(listener: TcpListener, handler: Rc<dyn PeerHandler>) {
+    let (tx, mut rx) = mpsc::unbounded::<Incoming>();
+    compio::runtime::spawn(async move {
+        while let Some((req, reply)) = rx.next().await {
+            let handling = Rc::clone(&handler).handle(req);
+            compio::runtime::spawn(async move {
+                // The asking instance may be gone by now; then nobody needs the reply.
+                let _ = reply.send(handling.await);
+            })
+            .detach();
+        }
+    })
+    .detach();
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                compio::runtime::spawn(serve_connection(stream, Forwarder { tx: tx.clone() }))
+                    .detach();
+            }
+            Err(err) => log::warn!("G0301 accepting an instance failed: {err}"),
+        }
+    }
+}
+
+async fn serve_connection(stream: TcpStream, forwarder: Forwarder) {
+    // A stream that refuses the option still works, only slower.
+    let _ = stream.set_nodelay(true);
+    let transport = Framed::new::<
+        tarpc::Response<crate::peer_service::PeerServiceResponse>,
+        tarpc::ClientMessage<crate::peer_service::PeerServiceRequest>,
+    >(PeerCodec, LengthDelimited::new())
+    .with_duplex(stream);
+    let mut requests = BaseChannel::with_defaults(transport).requests();
+    while let Ok(Some(req)) = requests.try_next().await {
+        compio::runtime::spawn(req.execute(forwarder.clone().serve())).detach();
+    }
+}
--- /dev/null
+++ b/crates/gullspar_net/src/tarpc_peers.rs
@@ -0,0 +1,91 @@
+//! Calls other instances over tarpc.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
+
+use compio::io::framed::Framed;
+use compio::io::framed::frame::LengthDelimited;
+use compio::net::TcpStream;
+use futures::FutureExt;
+use futures::future::LocalBoxFuture;
+use gullspar_border::{Clock, PeerError, PeerReply, PeerRequest, Peers, within};
+use tarpc::client::Config;
+use tarpc::context::Context;
+
+use crate::peer_codec::PeerCodec;
+use crate::peer_service::{PeerServiceClient, PeerServiceRequest, PeerServiceResponse};
+
+/// One connection to each instance called so far, opened on first use.
+pub struct TarpcPeers {
+    clock: Rc<dyn Clock>,
+    clients: Rc<RefCell<HashMap<SocketAddr, PeerServiceClient>>>,
+}
+
+impl TarpcPeers {
+    /// Peers whose deadlines are measured on `clock`.
+    pub fn new(clock: Rc<dyn Clock>) -> TarpcPeers {
+        TarpcPeers { clock, clients: Rc::default() }
+    }
+}
+
+fn no_answer(reason: impl ToString) -> PeerError {
+    PeerError::NoAnswer(reason.to_string())
+}
+
+async fn connect(to: SocketAddr) -> Result<PeerServiceClient, PeerError> {
+    let stream = TcpStream::connect(to).await.map_err(no_answer)?;
+    // A stream that refuses the option still works, only slower.
+    let _ = stream.set_nodelay(true);
+    let transport = Framed::new::<
+        tarpc::ClientMessage<PeerServiceRequest>,
+        tarpc::Response<PeerServiceResponse>,
+    >(PeerCodec, LengthDelimited::new())
+    .with_duplex(stream);
+    let created = PeerServiceClient::new(Config::default(), transport);
+    compio::runtime::spawn(async move {
+        // An error here ends the connection; the calls in flight see it as theirs.
+        let _ = created.dispatch.await;
+    })
+    .detach();
+    Ok(created.client)
+}
+
+impl Peers for TarpcPeers {
+    fn call(
+        &self,
+        to: SocketAddr,
+        req: PeerRequest,
+        deadline: Instant,
+    ) -> LocalBoxFuture<'static, Result<PeerReply, PeerError>> {
+        let clock = Rc::clone(&self.clock);
+        let clients = Rc::clone(&self.clients);
+        async move {
+            let call = async {
+                let known = clients.borrow().get(&to).cloned();
+                let client = match known {
+                    Some(client) => client,
+                    None => {
+                        let client = connect(to).await?;
+                        clients.borrow_mut().insert(to, client.clone());
+                        client
+                    }
+                };
+                let mut cx = Context::current();
+                cx.deadline = deadline;
+                client.call(cx, req).await.map_err(no_answer)
+            };
+            let result = within(&*clock, deadline, call)
+                .await
+                .unwrap_or_else(|_| Err(no_answer("the deadline passed")));
+            if result.is_err() {
+                // The connection may be broken or stuck; the next call opens a fresh one.
+                clients.borrow_mut().remove(&to);
+            }
+            result
+        }
+        .boxed_local()
+    }
+}
--- /dev/null
+++ b/crates/gullspar_net/src/timer_context.rs
@@ -0,0 +1,25 @@
+//! The timers that tarpc needs.
+
+use std::sync::OnceLock;
+
+use tokio::runtime::{Builder, EnterGuard, Handle};
+
+/// Enters the context in which tarpc's timers work, for as long as the guard lives.
+///
+/// tarpc takes its timers from tokio. One thread of the process turns them; no input or output of
+/// ours runs there.
+pub fn enter_timer_context() -> EnterGuard<'static> {
+    static TIMERS: OnceLock<Handle> = OnceLock::new();
+    TIMERS.get_or_init(start_timer_thread).enter()
+}
+
+#[allow(clippy::expect_used)]
+fn start_timer_thread() -> Handle {
+    let runtime = Builder::new_current_thread()
+        .enable_time()
+        .build()
+        .expect("a runtime with only timers opens nothing that can fail");
+    let handle = runtime.handle().clone();
+    std::thread::spawn(move || runtime.block_on(std::future::pending::<()>()));
+    handle
+}
--- /dev/null
+++ b/crates/gullspar_operator/src/change.rs
@@ -0,0 +1,50 @@
+//! What differs between two configurations.
+
+use gullspar_model::record;
+use serde_json::Value;
+
+record! {
+    /// One difference, at the place where it stands.
+    pub struct Change {
+        /// Names from the outside in, joined by dots.
+        pub place: String,
+        /// `None` for something new.
+        pub before: Option<String>,
+        /// `None` for something removed.
+        pub after: Option<String>,
+    }
+}
+
+impl Change {
+    /// All differences between two values.
+    pub fn between(before: &Value, after: &Value) -> Vec<Change> {
+        let mut changes = Vec::new();
+        compare("", Some(before), Some(after), &mut changes);
+        changes
+    }
+}
+
+fn compare(place: &str, before: Option<&Value>, after: Option<&Value>, out: &mut Vec<Change>) {
+    let join = |name: &str| if place.is_empty() { name.to_owned() } else { format!("{place}.{name}") };
+    match (before, after) {
+        (Some(Value::Object(old)), Some(Value::Object(new))) => {
+            let mut names: Vec<&String> = old.keys().chain(new.keys()).collect();
+            names.sort();
+            names.dedup();
+            for name in names {
+                compare(&join(name), old.get(name), new.get(name), out);
+            }
+        }
+        (Some(Value::Array(old)), Some(Value::Array(new))) => {
+            for index in 0..old.len().max(new.len()) {
+                compare(&join(&index.to_string()), old.get(index), new.get(index), out);
+            }
+        }
+        (old, new) if old == new => {}
+        (old, new) => out.push(Change {
+            place: place.to_owned(),
+            before: old.map(Value::to_string),
+            after: new.map(Value::to_string),
+        }),
+    }
+}
--- /dev/null
+++ b/crates/gullspar_operator/src/http.rs
@@ -0,0 +1,87 @@
+//! The operators' HTTP API.
+
+use std::rc::Rc;
+
+use axum::Json;
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use compio_send_wrapper::SendWrapper;
+use gullspar_model::record;
+
+use crate::{Change, ConfirmError, Intent, Operator, Plan, PlanError, metrics};
+
+type Shared = SendWrapper<Rc<Operator>>;
+
+record! {
+    /// Why a call failed.
+    pub struct Failure {
+        pub error: String,
+        pub findings: Vec<String>,
+        pub moved: Vec<Change>,
+    }
+}
+
+/// The routes of the API.
+///
+/// Everything runs on the instance's one thread; the wrapper lets the HTTP library, which asks for
+/// `Send`, hold what belongs to it.
+pub fn router(operator: Rc<Operator>) -> axum::Router {
+    axum::Router::new()
+        .route("/v1/plans", post(plan))
+        .route("/v1/confirm", post(confirm))
+        .route("/v1/status", get(status))
+        .route("/metrics", get(serve_metrics))
+        .with_state(SendWrapper::new(operator))
+}
+
+fn failure(status: StatusCode, error: String, findings: Vec<String>, moved: Vec<Change>) -> Response {
+    (status, Json(Failure { error, findings, moved })).into_response()
+}
+
+async fn plan(State(operator): State<Shared>, Json(intent): Json<Intent>) -> Response {
+    let operator = operator.take();
+    SendWrapper::new(async move {
+        match operator.plan(intent).await {
+            Ok(plan) => Json(plan).into_response(),
+            Err(PlanError::Findings(findings)) => {
+                let error = "the intent can't be fulfilled".to_owned();
+                failure(StatusCode::UNPROCESSABLE_ENTITY, error, findings, Vec::new())
+            }
+            Err(err) => {
+                failure(StatusCode::SERVICE_UNAVAILABLE, err.to_string(), Vec::new(), Vec::new())
+            }
+        }
+    })
+    .await
+}
+
+async fn confirm(State(operator): State<Shared>, Json(plan): Json<Plan>) -> Response {
+    let operator = operator.take();
+    SendWrapper::new(async move {
+        match operator.confirm(plan).await {
+            Ok(confirmed) => Json(confirmed).into_response(),
+            Err(err) => {
+                let text = err.to_string();
+                let (status, moved) = match err {
+                    ConfirmError::Moved(_, moved) => (StatusCode::CONFLICT, moved),
+                    ConfirmError::Altered => (StatusCode::UNPROCESSABLE_ENTITY, Vec::new()),
+                    _ => (StatusCode::SERVICE_UNAVAILABLE, Vec::new()),
+                };
+                failure(status, text, Vec::new(), moved)
+            }
+        }
+    })
+    .await
+}
+
+async fn status(State(operator): State<Shared>) -> Response {
+    let operator = operator.take();
+    SendWrapper::new(async move { Json(operator.status().await).into_response() }).await
+}
+
+async fn serve_metrics(State(operator): State<Shared>) -> Response {
+    let operator = operator.take();
+    metrics::prometheus(&(operator.report)()).into_response()
+}
--- /dev/null
+++ b/crates/gullspar_operator/src/lib.rs
@@ -0,0 +1,19 @@
+//! The operators' side: intents become plans, confirmed plans become configuration, and status tells
+//! what is in force and what hurts.
+
+mod change;
+mod confirm;
+mod http;
+mod intent;
+mod metrics;
+mod operator;
+mod plan;
+mod status;
+
+pub use change::Change;
+pub use confirm::{ConfirmError, Confirmed};
+pub use http::router;
+pub use intent::Intent;
+pub use operator::Operator;
+pub use plan::{Plan, PlanError};
+pub use status::{InstanceStatus, ServiceStatus, Status};
--- /dev/null
+++ b/crates/gullspar_target/src/lane_server.rs
@@ -0,0 +1,117 @@
+//! The home's end of lanes.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use futures::FutureExt;
+use futures::future::LocalBoxFuture;
+use gullspar_border::Link;
+use gullspar_wire::{Channel, Frame, LaneFrame, LaneUnit, WireError};
+
+use crate::lane::{FrameSink, Lane, Unit};
+use crate::{LocalLane, Pools};
+
+/// The lanes that other instances have open to this one.
+#[derive(Default)]
+pub struct ActiveLanes {
+    next: Cell<u64>,
+    cancellers: RefCell<HashMap<u64, Rc<dyn Fn()>>>,
+}
+
+impl ActiveLanes {
+    /// Cancels what lane `number` is running.
+    pub fn cancel(&self, number: u64) {
+        let canceller = self.cancellers.borrow().get(&number).cloned();
+        if let Some(cancel) = canceller {
+            cancel();
+        }
+    }
+
+    /// How many lanes are open.
+    pub fn len(&self) -> usize {
+        self.cancellers.borrow().len()
+    }
+
+    /// Whether no lane is open.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+/// Serves one lane until the other instance closes it.
+pub async fn serve_lanes(
+    link: Box<dyn Link>,
+    pools: Rc<Pools>,
+    active: Rc<ActiveLanes>,
+    secret: String,
+) {
+    let mut channel = Channel::new(link, Channel::DEFAULT_LIMIT);
+    let number = active.next.get();
+    active.next.set(number + 1);
+    match serve(&mut channel, &pools, &active, number, &secret).await {
+        Ok(()) | Err(WireError::Closed) => {}
+        Err(err) => log::debug!("G0304 lane {number} ended: {err}"),
+    }
+    active.cancellers.borrow_mut().remove(&number);
+}
+
+async fn serve(
+    channel: &mut Channel,
+    pools: &Rc<Pools>,
+    active: &ActiveLanes,
+    number: u64,
+    secret: &str,
+) -> Result<(), WireError> {
+    let hello = channel.next().await?;
+    if hello.kind() != LaneFrame::HELLO || hello.body() != secret.as_bytes() {
+        log::warn!("G0305 a lane was refused: its greeting is not that of an instance");
+        return Ok(());
+    }
+    channel.queue(LaneFrame::hello_answer(number)?.bytes());
+    channel.flush().await?;
+    let mut lane = LocalLane::new(Rc::clone(pools));
+    active.cancellers.borrow_mut().insert(number, lane.canceller());
+    loop {
+        channel.release_memory();
+        channel.wait_readable().await?;
+        let frame = channel.next().await?;
+        if frame.kind() != LaneFrame::UNIT {
+            return Err(WireError::Malformed("a unit was due on a lane".to_owned()));
+        }
+        let head: LaneUnit = LaneFrame::decode(&frame)?;
+        let payload = channel.next_raw(head.payload as usize).await?;
+        let unit = Unit { head, payload };
+        let outcome = {
+            let mut sink = ChannelSink { channel };
+            match lane.run(&unit, &mut sink).await {
+                Ok(outcome) => outcome,
+                Err(err) => return Err(err.source),
+            }
+        };
+        let message: Frame = LaneFrame::outcome(&outcome)?;
+        channel.queue(message.bytes());
+        channel.flush().await?;
+    }
+}
+
+/// Answers gather up to this size before they are sent, in bytes.
+const GATHER: usize = 8 * 1024;
+
+/// Passes a target's answer on to the other instance.
+struct ChannelSink<'c> {
+    channel: &'c mut Channel,
+}
+
+impl FrameSink for ChannelSink<'_> {
+    fn push<'a>(&'a mut self, bytes: &'a [u8]) -> LocalBoxFuture<'a, Result<(), WireError>> {
+        async move {
+            self.channel.queue(bytes);
+            if self.channel.queued() >= GATHER {
+                self.channel.flush().await?;
+            }
+            Ok(())
+        }
+        .boxed_local()
+    }
+}
--- /dev/null
+++ b/crates/gullspar_target/src/lib.rs
@@ -0,0 +1,24 @@
+//! The connections to targets: who may use them, in which order, and what comes of it.
+//!
+//! Each target's connections are held by one instance, its home; the others reach them over lanes.
+//! `docs/design/scarce-connections.md` tells why.
+
+mod admission;
+mod exchange;
+mod keyed_request;
+mod lane;
+mod lane_server;
+mod local_lane;
+mod pools;
+mod remote_lane;
+mod target_connection;
+mod target_pool;
+
+pub use admission::{Admission, Permit};
+pub use lane::{FrameSink, Lane, LaneError, Lanes, Unit};
+pub use lane_server::{ActiveLanes, serve_lanes};
+pub use local_lane::LocalLane;
+pub use pools::{PoolReport, Pools};
+pub use remote_lane::RemoteLane;
+pub use target_connection::TargetConnection;
+pub use target_pool::TargetPool;
--- /dev/null
+++ b/crates/gullspar_target/src/local_lane.rs
@@ -0,0 +1,464 @@
+//! A lane to a target whose connections this instance holds.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::BytesMut;
+use futures::FutureExt;
+use futures::future::LocalBoxFuture;
+use gullspar_border::within;
+use gullspar_group::{GroupWatch, STATUS_NOW, read_status};
+use gullspar_model::{Access, LogPoint, MemberStatus, NotRun, Outcome, Term, Unknown};
+use gullspar_wire::{ErrorReport, LaneUnit, WireError, query, status, target};
+
+use crate::exchange::{Exchange, Verdict};
+use crate::keyed_request::{self, KeyedStart};
+use crate::lane::{FrameSink, Lane, LaneError, Unit};
+use crate::target_pool::{CheckedOut, TargetPool};
+use crate::Pools;
+
+/// Most that an answer may hold back while it waits for its acknowledgement, in bytes.
+const HELD_LIMIT: usize = 1024 * 1024;
+
+/// Passes answers on in pieces of at least this size while more is on its way, in bytes.
+const PIECE: usize = 16 * 1024;
+
+/// Status byte of a unit that ended with a Flush: the batch is still open.
+pub(crate) const BATCH_OPEN: u8 = b'F';
+
+/// How a unit failed on its way.
+enum Failure {
+    NotRun(NotRun),
+    /// The connection broke or the deadline passed after the unit was sent.
+    Lost(Unknown),
+}
+
+impl From<NotRun> for Failure {
+    fn from(reason: NotRun) -> Failure {
+        Failure::NotRun(reason)
+    }
+}
+
+/// A unit that may run now.
+struct Admitted {
+    watch: Rc<GroupWatch>,
+    pool: Rc<TargetPool>,
+    /// The term under which a unit on the primary runs.
+    term: Option<Term>,
+    checked_out: CheckedOut,
+}
+
+/// What came of the messages exchanged with a target.
+#[derive(Default)]
+struct Exchanged {
+    /// Held back until the acknowledgement.
+    held: BytesMut,
+    holding: bool,
+    status: u8,
+    /// SQLSTATE of the first error.
+    error: Option<String>,
+    /// The member's status after the unit.
+    after: Option<MemberStatus>,
+}
+
+/// A connection kept from one unit to the next.
+struct Pinned {
+    checked_out: CheckedOut,
+    watch: Rc<GroupWatch>,
+    pool: Rc<TargetPool>,
+    term: Option<Term>,
+}
+
+type CancelTarget = Rc<RefCell<Option<(std::net::SocketAddr, (i32, i32), Rc<Cell<bool>>)>>>;
+
+/// Runs units on connections of this instance's pools.
+pub struct LocalLane {
+    pools: Rc<Pools>,
+    pinned: Option<Pinned>,
+    running: CancelTarget,
+}
+
+impl LocalLane {
+    /// A lane without a connection.
+    pub fn new(pools: Rc<Pools>) -> LocalLane {
+        LocalLane { pools, pinned: None, running: Rc::default() }
+    }
+
+    async fn run_unit(&mut self, unit: &Unit, sink: &mut dyn FrameSink) -> Outcome {
+        let clock = Rc::clone(&self.pools.fleet.borders().clock);
+        let started = clock.now();
+        let deadline = started + Duration::from_millis(unit.head.remaining_ms);
+        let in_transaction = unit.head.continues;
+        let mut admitted = match self.admit(&unit.head, deadline).await {
+            Ok(admitted) => admitted,
+            Err(reason) => return Outcome::NotRun(reason),
+        };
+        let key = &admitted.checked_out.connection;
+        let cancelled = Rc::clone(&key.cancelled);
+        *self.running.borrow_mut() = Some((admitted.pool.address(), key.cancel_key, cancelled));
+        let result = self.exchange(unit, &mut admitted, sink, started, deadline).await;
+        *self.running.borrow_mut() = None;
+        match result {
+            Ok(exchanged) => {
+                self.conclude(&unit.head, admitted, exchanged, sink, started, deadline).await
+            }
+            Err(Failure::NotRun(reason)) => Outcome::NotRun(reason),
+            // The transaction never reached its commit, and with the connection it is gone.
+            Err(Failure::Lost(_)) if in_transaction && !unit.head.commits => {
+                Outcome::NotRun(NotRun::TransactionLost)
+            }
+            Err(Failure::Lost(reason)) => Outcome::Unknown(reason),
+        }
+    }
+
+    async fn admit(&mut self, head: &LaneUnit, deadline: Instant) -> Result<Admitted, NotRun> {
+        if head.continues {
+            let pinned = self.pinned.take().ok_or(NotRun::TransactionLost)?;
+            let Pinned { checked_out, watch, pool, term } = pinned;
+            return Ok(Admitted { watch, pool, term, checked_out });
+        }
+        // A pinned connection that the caller no longer counts on is in no known state.
+        self.pinned = None;
+        let (watch, pool) = self.pools.pool(&head.group, &head.member)?;
+        let term = check_leadership(&watch, head)?;
+        if !head.on_primary {
+            let clock = &self.pools.fleet.borders().clock;
+            let until = deadline.min(clock.now() + Duration::from_millis(head.requirement.wait_ms));
+            let max_age = head.requirement.max_age_ms.map(Duration::from_millis);
+            watch.wait_fresh(&head.member, head.requirement.floor, max_age, until).await?;
+        }
+        let checked_out = pool.check_out(head.priority, deadline).await?;
+        Ok(Admitted { watch, pool, term, checked_out })
+    }
+
+    async fn exchange(
+        &self,
+        unit: &Unit,
+        admitted: &mut Admitted,
+        sink: &mut dyn FrameSink,
+        started: Instant,
+        deadline: Instant,
+    ) -> Result<Exchanged, Failure> {
+        let head = &unit.head;
+        let _slot = if head.continues {
+            admitted.pool.slots.enter_now()
+        } else {
+            admitted.pool.slots.enter(head.priority, deadline).await?
+        };
+        if let (Some(term), false) = (admitted.term, head.continues) {
+            // The queue may have taken long; what was checked on arrival is checked again.
+            check_leadership(&admitted.watch, head)?;
+            if head.requirement.confirm {
+                admitted.watch.wait_confirmed(term, started, deadline).await?;
+            }
+        }
+        let clock = Rc::clone(&self.pools.fleet.borders().clock);
+        let connection = &mut admitted.checked_out.connection;
+        if connection.settings != head.settings {
+            let apply = apply_settings(connection, &head.settings);
+            let applied = within(&*clock, deadline, apply).await;
+            applied.map_err(|_| NotRun::DeadlinePassed)?.map_err(|_| NotRun::Unreachable)?;
+        }
+        if head.request_key.is_some() && head.commits && !head.continues {
+            let run = self.exchange_keyed(unit, connection);
+            return within(&*clock, deadline, run)
+                .await
+                .unwrap_or(Err(Failure::Lost(Unknown::DeadlinePassed)));
+        }
+        let run = exchange_plain(unit, connection, sink);
+        within(&*clock, deadline, run)
+            .await
+            .unwrap_or(Err(Failure::Lost(Unknown::DeadlinePassed)))
+    }
+
+    /// Runs a request that must run at most once, in one transaction with its key.
+    async fn exchange_keyed(
+        &self,
+        unit: &Unit,
+        connection: &mut crate::TargetConnection,
+    ) -> Result<Exchanged, Failure> {
+        let lost = |_| Failure::Lost(Unknown::ConnectionLost);
+        let Some(key) = unit.head.request_key.as_deref() else {
+            return Err(Failure::NotRun(NotRun::Unreachable));
+        };
+        let key = format!("{}/{key}", unit.head.caller);
+        let start = keyed_request::start(connection, &key, &unit.payload).await;
+        let mut exchanged = match start.map_err(|_| NotRun::ConnectionLost)? {
+            KeyedStart::First => {
+                let mut collected = Collector::default();
+                let mut exchanged = exchange_plain(unit, connection, &mut collected).await?;
+                let mut answer = collected.bytes;
+                answer.extend_from_slice(&exchanged.held);
+                exchanged.held = if exchanged.error.is_none() {
+                    keyed_request::finish(connection, &key, &answer).await.map_err(lost)?;
+                    answer
+                } else {
+                    connection.channel.ask("ROLLBACK").await.map_err(lost)?;
+                    answer
+                };
+                exchanged
+            }
+            KeyedStart::Repeated { answer } => {
+                Exchanged { held: answer, holding: true, ..Exchanged::default() }
+            }
+            KeyedStart::Refused(report) => {
+                let mut held = BytesMut::new();
+                report.encode(&mut held);
+                let error = Some(report.code);
+                Exchanged { held, holding: true, error, ..Exchanged::default() }
+            }
+        };
+        exchanged.status = status::IDLE;
+        let rows = connection.channel.ask(STATUS_NOW).await.map_err(lost)?;
+        exchanged.after = rows.first().and_then(read_status);
+        Ok(exchanged)
+    }
+
+    async fn conclude(
+        &mut self,
+        head: &LaneUnit,
+        admitted: Admitted,
+        exchanged: Exchanged,
+        sink: &mut dyn FrameSink,
+        started: Instant,
+        deadline: Instant,
+    ) -> Outcome {
+        let Admitted { watch, pool, term, checked_out } = admitted;
+        if let Some(outcome) = refused_by_target(head, &exchanged) {
+            return outcome;
+        }
+        // The connection and its slot are free for others while the answer waits.
+        let pinned = exchanged.status != status::IDLE || head.keep;
+        if pinned {
+            self.pinned = Some(Pinned { checked_out, watch: Rc::clone(&watch), pool, term });
+        } else if !head.dirties {
+            checked_out.give_back();
+        }
+        let mut point = None;
+        if head.acknowledge && exchanged.status == status::IDLE && exchanged.error.is_none() {
+            match acknowledge(&watch, head, &exchanged, term, deadline).await {
+                Ok(acknowledged) => point = Some(acknowledged),
+                Err(reason) => return Outcome::Unknown(reason),
+            }
+        }
+        let age_ms = if head.on_primary {
+            None
+        } else {
+            watch.age(&head.member).map(|it| {
+                let since = watch.elapsed(started);
+                (it + since).as_millis() as u64
+            })
+        };
+        if sink.push(&exchanged.held).await.is_err() {
+            // The caller has gone; nobody needs the answer.
+            self.pinned = None;
+        }
+        Outcome::Done { status: exchanged.status, point, age_ms }
+    }
+}
+
+/// Gathers what a keyed request answers, to be kept with its key.
+#[derive(Default)]
+struct Collector {
+    bytes: BytesMut,
+}
+
+impl FrameSink for Collector {
+    fn push<'a>(&'a mut self, bytes: &'a [u8]) -> LocalBoxFuture<'a, Result<(), WireError>> {
+        self.bytes.extend_from_slice(bytes);
+        std::future::ready(Ok(())).boxed_local()
+    }
+}
+
+/// Checks that a unit for the primary may be sent to this member, and under which term.
+fn check_leadership(watch: &GroupWatch, head: &LaneUnit) -> Result<Option<Term>, NotRun> {
+    if !head.on_primary {
+        return Ok(None);
+    }
+    let leader = watch.leader().ok_or(NotRun::NoPrimary)?;
+    let leads = watch
+        .view(&head.member)
+        .and_then(|it| it.status)
+        .is_some_and(|it| it.leads(leader.term));
+    if leader.member != head.member || !leads {
+        return Err(NotRun::NotPrimary);
+    }
+    if head.requirement.floor.is_some_and(|it| it.term > leader.term) {
+        // The session has seen a later leader than this instance knows of.
+        return Err(NotRun::NotPrimary);
+    }
+    if head.access == Access::Write && !watch.majority_in_sight(leader.term) {
+        // Sent now, the write could take effect and never be acknowledged: its caller would be
+        // left with an unknown outcome where a clear refusal is possible.
+        return Err(NotRun::NoMajority);
+    }
+    Ok(Some(leader.term))
+}
+
+/// Whether the target itself said that nothing of the unit ran.
+fn refused_by_target(head: &LaneUnit, exchanged: &Exchanged) -> Option<Outcome> {
+    /// Codes with which a target turns a statement away before running it: it is read-only, or
+    /// shutting down, or starting up.
+    const TURNED_AWAY: [&str; 4] = ["25006", "57P01", "57P02", "57P03"];
+    let code = exchanged.error.as_deref()?;
+    if !head.on_primary || !TURNED_AWAY.contains(&code) {
+        return None;
+    }
+    let reason = if head.continues { NotRun::TransactionLost } else { NotRun::NotPrimary };
+    Some(Outcome::NotRun(reason))
+}
+
+async fn acknowledge(
+    watch: &GroupWatch,
+    head: &LaneUnit,
+    exchanged: &Exchanged,
+    term: Option<Term>,
+    deadline: Instant,
+) -> Result<LogPoint, Unknown> {
+    let (Some(after), Some(term)) = (exchanged.after, term) else {
+        return Err(Unknown::Superseded);
+    };
+    if !after.leads(term) {
+        // The member was fenced between the commit and this reading; whoever leads now decides
+        // whether the write is in the log.
+        return Err(Unknown::Superseded);
+    }
+    let point = LogPoint { term, position: after.position };
+    let waited = watch.wait_acknowledged(point, deadline).await;
+    match (waited, head.commits) {
+        (Ok(()), _) => Ok(point),
+        (Err(reason), _) => Err(reason),
+    }
+}
+
+async fn apply_settings(
+    connection: &mut crate::TargetConnection,
+    settings: &[String],
+) -> Result<(), WireError> {
+    connection.channel.ask("DISCARD ALL").await?;
+    connection.prepared.clear();
+    connection.settings.clear();
+    for setting in settings {
+        connection.channel.ask(setting).await?;
+    }
+    connection.settings = settings.to_vec();
+    Ok(())
+}
+
+/// Sends a unit and reads its answer, holding back what claims success.
+async fn exchange_plain(
+    unit: &Unit,
+    connection: &mut crate::TargetConnection,
+    sink: &mut dyn FrameSink,
+) -> Result<Exchanged, Failure> {
+    let mut exchange = Exchange::default();
+    let mut out = BytesMut::with_capacity(unit.payload.len() + 64);
+    // Malformed messages were refused when the caller sent them.
+    let prepared = exchange.prepare(unit.payload.clone(), connection, &mut out);
+    prepared.map_err(|_| NotRun::Unreachable)?;
+    let keyed = unit.head.request_key.is_some() && unit.head.commits && !unit.head.continues;
+    let ask_status = unit.head.acknowledge && !keyed;
+    if ask_status {
+        out.extend_from_slice(query(STATUS_NOW).bytes());
+    }
+    connection.channel.queue(&out);
+    let lost = |_| Failure::Lost(Unknown::ConnectionLost);
+    connection.channel.flush().await.map_err(lost)?;
+    let mut exchanged = Exchanged { status: BATCH_OPEN, ..Exchanged::default() };
+    let mut ready = BytesMut::new();
+    loop {
+        for frame in exchange.synthetic() {
+            ready.extend_from_slice(frame.bytes());
+        }
+        if exchange.is_settled() {
+            break;
+        }
+        let frame = match connection.channel.buffered().map_err(lost)? {
+            Some(frame) => frame,
+            None => {
+                if !ready.is_empty() && !exchanged.holding {
+                    sink.push(&ready).await.map_err(lost)?;
+                    ready.clear();
+                }
+                connection.channel.next().await.map_err(lost)?
+            }
+        };
+        match exchange.judge(&frame, connection) {
+            Verdict::Hide => continue,
+            Verdict::Ready(byte) => {
+                exchanged.status = byte;
+                break;
+            }
+            Verdict::Forward => {}
+        }
+        if frame.kind() == target::ERROR && exchanged.error.is_none() {
+            exchanged.error = Some(ErrorReport::decode(&frame).code);
+        }
+        let decisive = matches!(frame.kind(), target::COMMAND_COMPLETE | target::ERROR);
+        if decisive && unit.head.on_primary && !exchanged.holding {
+            // From here on the answer claims a result, and must not be seen before it is certain.
+            exchanged.holding = true;
+            if !ready.is_empty() {
+                sink.push(&ready).await.map_err(lost)?;
+                ready.clear();
+            }
+        }
+        if exchanged.holding {
+            exchanged.held.extend_from_slice(frame.bytes());
+            if exchanged.held.len() > HELD_LIMIT {
+                return Err(Failure::Lost(Unknown::NotAcknowledged));
+            }
+        } else {
+            ready.extend_from_slice(frame.bytes());
+            if ready.len() >= PIECE {
+                sink.push(&ready).await.map_err(lost)?;
+                ready.clear();
+            }
+        }
+    }
+    if exchanged.holding {
+        exchanged.held.extend_from_slice(&ready);
+    } else {
+        exchanged.held = ready;
+    }
+    if ask_status {
+        let rows = connection.channel.read_answer().await.map_err(lost)?;
+        exchanged.after = rows.first().and_then(read_status);
+    }
+    Ok(exchanged)
+}
+
+impl Lane for LocalLane {
+    fn run<'a>(
+        &'a mut self,
+        unit: &'a Unit,
+        sink: &'a mut dyn FrameSink,
+    ) -> LocalBoxFuture<'a, Result<Outcome, LaneError>> {
+        async move { Ok(self.run_unit(unit, sink).await) }.boxed_local()
+    }
+
+    fn is_sound(&self) -> bool {
+        true
+    }
+
+    fn canceller(&self) -> Rc<dyn Fn()> {
+        let running = Rc::clone(&self.running);
+        let borders = self.pools.fleet.borders().clone();
+        Rc::new(move || {
+            let Some((address, key, cancelled)) = running.borrow().clone() else { return };
+            // From now on the connection never serves another caller: the target may act on the
+            // request late.
+            cancelled.set(true);
+            let borders = borders.clone();
+            compio::runtime::spawn(async move {
+                let deadline = borders.clock.now() + Duration::from_secs(1);
+                let Ok(mut link) = borders.dialer.dial(address, deadline).await else { return };
+                let message = gullspar_wire::cancel_request(key);
+                // A cancel request has no answer; the statement goes on if it gets lost.
+                let _ = within(&*borders.clock, deadline, link.send(message)).await;
+            })
+            .detach();
+        })
+    }
+}
--- /dev/null
+++ b/crates/gullspar_target/src/pools.rs
@@ -0,0 +1,103 @@
+//! The pools of all targets that this instance is home of.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use gullspar_fleet::Fleet;
+use gullspar_group::{GroupManager, GroupWatch};
+use gullspar_model::{GroupName, MemberName, NotRun};
+
+use crate::TargetPool;
+
+/// What operators see of a pool.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PoolReport {
+    pub connections: u32,
+    pub busy_slots: u32,
+    pub queued: u32,
+}
+
+/// Pools by target, and the groups that the targets belong to.
+pub struct Pools {
+    pub(crate) fleet: Rc<Fleet>,
+    pub(crate) groups: Rc<GroupManager>,
+    pools: RefCell<HashMap<String, Rc<TargetPool>>>,
+}
+
+impl Pools {
+    /// No pools yet; each is made at first use.
+    pub fn new(fleet: Rc<Fleet>, groups: Rc<GroupManager>) -> Rc<Pools> {
+        Rc::new(Pools { fleet, groups, pools: RefCell::default() })
+    }
+
+    /// The pool of a target, if this instance is its home.
+    pub(crate) fn pool(
+        &self,
+        group: &GroupName,
+        member: &MemberName,
+    ) -> Result<(Rc<GroupWatch>, Rc<TargetPool>), NotRun> {
+        let watch = self.groups.watch(group).ok_or(NotRun::NotHome)?;
+        let spec = watch.spec();
+        let spec = spec.member(member).ok_or(NotRun::NotHome)?;
+        let key = GroupWatch::target_key(group, member);
+        if !self.fleet.is_home(&key, &spec.data_centre) {
+            // Connections held by two instances at once could exceed what the target accepts.
+            self.drop_pool(&key);
+            return Err(NotRun::NotHome);
+        }
+        let mut pools = self.pools.borrow_mut();
+        let pool = match pools.get(&key) {
+            Some(pool) => {
+                pool.adopt(spec);
+                Rc::clone(pool)
+            }
+            None => {
+                let borders = self.fleet.borders();
+                let pool = TargetPool::new(
+                    Rc::clone(&borders.clock),
+                    Rc::clone(&borders.dialer),
+                    spec,
+                );
+                pools.insert(key, Rc::clone(&pool));
+                pool
+            }
+        };
+        Ok((watch, pool))
+    }
+
+    fn drop_pool(&self, key: &str) {
+        self.pools.borrow_mut().remove(key);
+    }
+
+    /// Gives up the connections of targets whose home is another instance now.
+    ///
+    /// Done on each change of membership: the new home opens its own, and the target accepts only
+    /// so many.
+    pub fn release_foreign(&self) {
+        for watch in self.groups.watches() {
+            for member in &watch.spec().members {
+                let key = GroupWatch::target_key(&watch.name(), &member.name);
+                if !self.fleet.is_home(&key, &member.data_centre) {
+                    self.drop_pool(&key);
+                }
+            }
+        }
+    }
+
+    /// Connections in use at all targets.
+    pub fn busy(&self) -> u32 {
+        self.pools.borrow().values().map(|it| it.connections()).sum()
+    }
+
+    /// What a target's pool is doing.
+    pub fn report(&self, group: &GroupName, member: &MemberName) -> PoolReport {
+        let pools = self.pools.borrow();
+        let pool = pools.get(&GroupWatch::target_key(group, member));
+        pool.map_or(PoolReport::default(), |it| PoolReport {
+            connections: it.open_connections(),
+            busy_slots: it.busy_slots(),
+            queued: it.queued(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/gullspar_target/src/remote_lane.rs
@@ -0,0 +1,115 @@
+//! A lane to a target whose connections another instance holds.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures::FutureExt;
+use futures::future::LocalBoxFuture;
+use gullspar_border::{PeerRequest, within};
+use gullspar_fleet::Fleet;
+use gullspar_model::{InstanceRecord, Outcome, Unknown};
+use gullspar_wire::{Channel, Frame, LaneFrame, WireError};
+
+use crate::lane::{FrameSink, Lane, LaneError, Unit};
+
+/// How much longer than the unit's deadline its home may take to answer; the home keeps the deadline
+/// itself, this only bounds the wait for one that has died.
+const SLACK: Duration = Duration::from_millis(300);
+
+/// A connection to the home of a target.
+pub struct RemoteLane {
+    fleet: Rc<Fleet>,
+    channel: Channel,
+    peer: std::net::SocketAddr,
+    /// The home's number for this lane.
+    number: Rc<Cell<u64>>,
+}
+
+impl RemoteLane {
+    /// Connects to `home`.
+    pub(crate) async fn open(
+        fleet: &Rc<Fleet>,
+        home: &InstanceRecord,
+        secret: &str,
+        deadline: Instant,
+    ) -> Result<RemoteLane, WireError> {
+        let borders = fleet.borders();
+        let link = borders.dialer.dial(home.lane, deadline).await?;
+        let mut channel = Channel::new(link, Channel::DEFAULT_LIMIT);
+        channel.queue(LaneFrame::hello(secret).bytes());
+        let greet = async {
+            channel.flush().await?;
+            channel.next().await
+        };
+        let timeout = |_| WireError::Io(std::io::ErrorKind::TimedOut.into());
+        let answer = within(&*borders.clock, deadline, greet).await.map_err(timeout)??;
+        let number = LaneFrame::decode::<u64>(&answer)?;
+        Ok(RemoteLane {
+            fleet: Rc::clone(fleet),
+            channel,
+            peer: home.peer,
+            number: Rc::new(Cell::new(number)),
+        })
+    }
+
+    async fn exchange(
+        &mut self,
+        unit: &Unit,
+        sink: &mut dyn FrameSink,
+    ) -> Result<Outcome, LaneError> {
+        let unsent = |source| LaneError { sent: false, source };
+        let lost = |source| LaneError { sent: true, source };
+        let head = LaneFrame::unit(&unit.head).map_err(unsent)?;
+        self.channel.queue(head.bytes());
+        self.channel.queue(&unit.payload);
+        self.channel.flush().await.map_err(lost)?;
+        loop {
+            let frame = self.channel.next().await.map_err(lost)?;
+            if frame.kind() == LaneFrame::OUTCOME {
+                return LaneFrame::decode(&frame).map_err(lost);
+            }
+            self.pass_on(frame, sink).await.map_err(lost)?;
+        }
+    }
+
+    async fn pass_on(&mut self, frame: Frame, sink: &mut dyn FrameSink) -> Result<(), WireError> {
+        sink.push(frame.bytes()).await
+    }
+}
+
+impl Lane for RemoteLane {
+    fn run<'a>(
+        &'a mut self,
+        unit: &'a Unit,
+        sink: &'a mut dyn FrameSink,
+    ) -> LocalBoxFuture<'a, Result<Outcome, LaneError>> {
+        async move {
+            let clock = Rc::clone(&self.fleet.borders().clock);
+            let deadline =
+                clock.now() + Duration::from_millis(unit.head.remaining_ms) + SLACK;
+            within(&*clock, deadline, self.exchange(unit, sink))
+                .await
+                .unwrap_or(Ok(Outcome::Unknown(Unknown::DeadlinePassed)))
+        }
+        .boxed_local()
+    }
+
+    fn is_sound(&self) -> bool {
+        self.channel.is_quiet()
+    }
+
+    fn canceller(&self) -> Rc<dyn Fn()> {
+        let fleet = Rc::clone(&self.fleet);
+        let number = Rc::clone(&self.number);
+        let peer = self.peer;
+        Rc::new(move || {
+            let borders = fleet.borders();
+            let deadline = borders.clock.now() + Duration::from_secs(1);
+            let req = PeerRequest::CancelLane { lane: number.get() };
+            let call = borders.peers.call(peer, req, deadline);
+            // A cancel request has no answer; the statement goes on if it gets lost.
+            compio::runtime::spawn(async move { drop(call.await) }).detach();
+        })
+    }
+}
--- /dev/null
+++ b/crates/gullspar_wire/src/frame.rs
@@ -0,0 +1,115 @@
+//! One message as it stands on the wire.
+
+use bytes::{Buf, BytesMut};
+
+use crate::WireError;
+
+/// A whole message: type byte, length and body.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Frame {
+    bytes: BytesMut,
+}
+
+/// The first five bytes of a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FrameHeader {
+    /// The type byte.
+    pub kind: u8,
+    /// Length of the whole message with its header, in bytes.
+    pub length: usize,
+}
+
+impl FrameHeader {
+    /// Bytes of a header.
+    pub const SIZE: usize = 5;
+
+    /// Reads the header at the start of `buf`, if enough has arrived.
+    ///
+    /// A length under four can't be: it would make the reader lose its place in the stream and take
+    /// a body for a message, so the connection must end here.
+    pub fn peek(buf: &[u8], limit: usize) -> Result<Option<FrameHeader>, WireError> {
+        let Some(head) = buf.first_chunk::<{ FrameHeader::SIZE }>() else {
+            return Ok(None);
+        };
+        let kind = head[0];
+        let body = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
+        if body < 4 {
+            return Err(WireError::Malformed(format!("length {body} of message {kind:#04x}")));
+        }
+        if body > limit {
+            return Err(WireError::TooLarge(kind, body, limit));
+        }
+        Ok(Some(FrameHeader { kind, length: body + 1 }))
+    }
+}
+
+impl Frame {
+    /// Splits the first message off `buf`, if it is there whole.
+    pub fn take(buf: &mut BytesMut, limit: usize) -> Result<Option<Frame>, WireError> {
+        let Some(header) = FrameHeader::peek(buf, limit)? else {
+            return Ok(None);
+        };
+        if buf.len() < header.length {
+            return Ok(None);
+        }
+        Ok(Some(Frame { bytes: buf.split_to(header.length) }))
+    }
+
+    /// Whether any message in `bytes`, which holds whole ones, is of type `kind`.
+    pub fn any(mut bytes: &[u8], kind: u8) -> bool {
+        while let Ok(Some(header)) = FrameHeader::peek(bytes, usize::MAX) {
+            if header.kind == kind {
+                return true;
+            }
+            bytes = bytes.get(header.length..).unwrap_or(&[]);
+        }
+        false
+    }
+
+    /// Makes a message of a type byte and a body.
+    pub fn new(kind: u8, body: &[u8]) -> Frame {
+        let mut bytes = BytesMut::with_capacity(FrameHeader::SIZE + body.len());
+        bytes.extend_from_slice(&[kind]);
+        bytes.extend_from_slice(&(body.len() as u32 + 4).to_be_bytes());
+        bytes.extend_from_slice(body);
+        Frame { bytes }
+    }
+
+    /// The type byte.
+    pub fn kind(&self) -> u8 {
+        self.bytes[0]
+    }
+
+    /// What follows the header.
+    pub fn body(&self) -> &[u8] {
+        &self.bytes[FrameHeader::SIZE..]
+    }
+
+    /// The message as it stands on the wire.
+    pub fn bytes(&self) -> &[u8] {
+        &self.bytes
+    }
+
+    /// The message as a buffer that a decoder may eat.
+    pub fn into_bytes(self) -> BytesMut {
+        self.bytes
+    }
+
+    /// The text up to the first zero byte of the body.
+    pub fn first_text(&self) -> Result<&str, WireError> {
+        text_at(self.body()).map(|(text, _)| text)
+    }
+}
+
+/// Splits a zero-ended text off the start of `body`.
+pub(crate) fn text_at(body: &[u8]) -> Result<(&str, &[u8]), WireError> {
+    let end = body
+        .iter()
+        .position(|it| *it == 0)
+        .ok_or_else(|| WireError::Malformed("text without its end".to_owned()))?;
+    let text = std::str::from_utf8(&body[..end])
+        .map_err(|_| WireError::Malformed("text that is not UTF-8".to_owned()))?;
+    let mut rest = &body[end..];
+    rest.advance(1);
+    Ok((text, rest))
+}
--- /dev/null
+++ b/crates/gullsparctl/src/main.rs
@@ -0,0 +1,25 @@
+//! The operators' command line, and the lab.
+
+mod client;
+mod command_line;
+mod lab_command;
+mod operator_command;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let matches = command_line::command().get_matches();
+    let result = match matches.subcommand() {
+        Some(("lab", args)) => lab_command::run(args),
+        Some((name, args)) => operator_command::run(name, args),
+        // The command line accepts nothing else.
+        None => Ok(()),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("{err}");
+            ExitCode::FAILURE
+        }
+    }
+}
