Close framed connections safely and keep batches on one connection

Cause: tarpc flushes a transport while closing it, which compio's framed connection answers with a panic; and a Flush inside a batch asked the target for its position before the batch was committed. Change: an adapter that goes on closing when flushed, and batches that are acknowledged at their Sync on the connection they began on. Before: psycopg's pipeline mode ended with outcome unknown.

--- a/crates/gullspar_caller/src/router.rs
+++ b/crates/gullspar_caller/src/router.rs
@@ -253,7 +253,11 @@
             Ok(outcome) => {
                 // A lane with an unknown outcome may still carry a late answer.
                 let sound = !matches!(outcome, Outcome::Unknown(_));
-                let held = sound.then(|| HeldLane { home: home.id.clone(), lane });
+                let held = sound.then(|| HeldLane {
+                    home: home.id.clone(),
+                    lane,
+                    on_primary: routed.unit.head.on_primary,
+                });
                 (outcome, held)
             }
             Err(err) if err.sent => {
--- a/crates/gullspar_caller/src/session.rs
+++ b/crates/gullspar_caller/src/session.rs
@@ -86,6 +86,7 @@
             transaction: TransactionState::Idle,
             pinned: false,
             batch_open: false,
+            batch_commits: false,
             held: None,
             object: Rc::clone(&object),
         };
@@ -226,7 +227,28 @@
         self.conclude(channel, &req, routing, continues, deadline).await
     }
 
-    fn plan(&self, req: &Request) -> Plan {
+    /// What a request needs, with regard to the batch that it is part of.
+    ///
+    /// A Flush shows what ran so far, and only the batch's Sync commits it; asked for its position
+    /// before that, the target would answer in the middle of the batch.
+    fn plan(&mut self, req: &Request) -> Plan {
+        let mut plan = self.plan_alone(req);
+        let pending = self.state.batch_open && self.state.batch_commits;
+        if req.end == RequestEnd::Flush {
+            self.state.batch_commits = pending || plan.commits;
+            plan.commits = false;
+            plan.acknowledge = false;
+            // What follows in the batch may write, and must run on the same connection.
+            plan.replica_allowed = false;
+        } else {
+            plan.commits |= pending;
+            plan.acknowledge |= pending;
+            self.state.batch_commits = false;
+        }
+        plan
+    }
+
+    fn plan_alone(&self, req: &Request) -> Plan {
         let on_replica = self.state.transaction == TransactionState::Open { on_primary: false };
         let mut plan = Plan {
             access: Access::Read,
@@ -298,8 +320,9 @@
             // The key given by SET goes with the next request that can commit.
             if plan.commits { state.request_key.take() } else { None }
         });
-        let on_primary = match state.transaction {
-            TransactionState::Open { on_primary } => on_primary,
+        let continues = state.continues();
+        let on_primary = match &state.held {
+            Some(held) if continues => held.on_primary,
             _ => !plan.replica_allowed,
         };
         let head = LaneUnit {
@@ -309,8 +332,8 @@
             caller: state.caller.clone(),
             access: plan.access,
             on_primary,
-            acknowledge: plan.acknowledge,
-            continues: state.continues(),
+            acknowledge: plan.acknowledge && (on_primary || !continues),
+            continues,
             commits: plan.commits,
             keep: plan.keep,
             dirties: plan.dirties,
--- a/crates/gullspar_caller/src/session_state.rs
+++ b/crates/gullspar_caller/src/session_state.rs
@@ -21,6 +21,7 @@
 pub(crate) struct HeldLane {
     pub(crate) home: InstanceId,
     pub(crate) lane: Box<dyn Lane>,
+    pub(crate) on_primary: bool,
 }
 
 /// A session's identity, its floor and its transaction.
@@ -44,6 +45,8 @@
     pub(crate) pinned: bool,
     /// Whether a batch was flushed and not yet ended.
     pub(crate) batch_open: bool,
+    /// Whether the open batch did something that its Sync will commit.
+    pub(crate) batch_commits: bool,
     pub(crate) held: Option<HeldLane>,
 }
 
--- a/crates/gullspar_net/src/lib.rs
+++ b/crates/gullspar_net/src/lib.rs
@@ -1,6 +1,7 @@
 //! The real sides of the borders: TCP, the platform over HTTP, calls between instances over tarpc,
 //! the system's clock and randomness.
 
+mod closing_transport;
 mod http_platform;
 mod peer_codec;
 mod peer_server;
--- a/crates/gullspar_net/src/peer_server.rs
+++ b/crates/gullspar_net/src/peer_server.rs
@@ -11,6 +11,7 @@
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 
+use crate::closing_transport::ClosingTransport;
 use crate::peer_codec::PeerCodec;
 use crate::peer_service::PeerService;
 
@@ -69,7 +70,7 @@
         tarpc::ClientMessage<crate::peer_service::PeerServiceRequest>,
     >(PeerCodec, LengthDelimited::new())
     .with_duplex(stream);
-    let mut requests = BaseChannel::with_defaults(transport).requests();
+    let mut requests = BaseChannel::with_defaults(ClosingTransport::new(transport)).requests();
     while let Ok(Some(req)) = requests.try_next().await {
         compio::runtime::spawn(req.execute(forwarder.clone().serve())).detach();
     }
--- a/crates/gullspar_net/src/tarpc_peers.rs
+++ b/crates/gullspar_net/src/tarpc_peers.rs
@@ -15,6 +15,7 @@
 use tarpc::client::Config;
 use tarpc::context::Context;
 
+use crate::closing_transport::ClosingTransport;
 use crate::peer_codec::PeerCodec;
 use crate::peer_service::{PeerServiceClient, PeerServiceRequest, PeerServiceResponse};
 
@@ -44,7 +45,7 @@
         tarpc::Response<PeerServiceResponse>,
     >(PeerCodec, LengthDelimited::new())
     .with_duplex(stream);
-    let created = PeerServiceClient::new(Config::default(), transport);
+    let created = PeerServiceClient::new(Config::default(), ClosingTransport::new(transport));
     compio::runtime::spawn(async move {
         // An error here ends the connection; the calls in flight see it as theirs.
         let _ = created.dispatch.await;
--- a/crates/gullspar_target/src/keyed_request.rs
+++ b/crates/gullspar_target/src/keyed_request.rs
@@ -13,6 +13,9 @@
 /// Most of an answer that is kept with its key, in bytes.
 const ANSWER_LIMIT: usize = 8 * 1024;
 
+/// SQLSTATE of a key that is taken: unique violation.
+const TAKEN: &str = "23505";
+
 /// What the key tells.
 pub(crate) enum KeyedStart {
     /// Nobody ran it; a transaction with the key is open.
@@ -29,22 +32,16 @@
     key: &str,
     payload: &BytesMut,
 ) -> Result<KeyedStart, WireError> {
-    let channel = &mut connection.channel;
-    channel.ask("BEGIN").await?;
-    let print = fingerprint(payload);
-    let insert = format!(
-        "INSERT INTO gullspar_requests (request_key, fingerprint) VALUES ({}, '{print}')",
-        quoted(key)
-    );
-    let report = match channel.ask(&insert).await {
-        Ok(_) => return Ok(KeyedStart::First),
-        Err(WireError::Server(report)) => report,
-        Err(err) => return Err(err),
+    connection.channel.ask("BEGIN").await?;
+    let Some(report) = write_key(connection, key, payload).await? else {
+        return Ok(KeyedStart::First);
     };
+    let channel = &mut connection.channel;
     channel.ask("ROLLBACK").await?;
-    if report.code != "23505" {
+    if report.code != TAKEN {
         return Ok(KeyedStart::Refused(report));
     }
+    let print = fingerprint(payload);
     let select = format!(
         "SELECT fingerprint, answer FROM gullspar_requests WHERE request_key = {}",
         quoted(key)
@@ -59,6 +56,44 @@
     Ok(KeyedStart::Repeated { answer: replay(payload, &from_hex(&kept)) })
 }
 
+/// Writes the key within a transaction that the caller opened; gives the error that it failed with.
+///
+/// The transaction as a whole then runs at most once. Its first answer can't be repeated, since it
+/// spans several requests; a second attempt learns that it committed.
+pub(crate) async fn claim_in_transaction(
+    connection: &mut TargetConnection,
+    key: &str,
+    payload: &BytesMut,
+) -> Result<Option<ErrorReport>, WireError> {
+    let refused = write_key(connection, key, payload).await?;
+    Ok(refused.map(|report| {
+        if report.code == TAKEN {
+            ErrorReport::error(TAKEN, "a transaction with this request key has committed already")
+                .with_hint("done; do not repeat it")
+        } else {
+            report
+        }
+    }))
+}
+
+/// Writes the key; gives the target's error if it refused.
+async fn write_key(
+    connection: &mut TargetConnection,
+    key: &str,
+    payload: &BytesMut,
+) -> Result<Option<ErrorReport>, WireError> {
+    let insert = format!(
+        "INSERT INTO gullspar_requests (request_key, fingerprint) VALUES ({}, '{}')",
+        quoted(key),
+        fingerprint(payload)
+    );
+    match connection.channel.ask(&insert).await {
+        Ok(_) => Ok(None),
+        Err(WireError::Server(report)) => Ok(Some(report)),
+        Err(err) => Err(err),
+    }
+}
+
 /// Keeps the answer with the key and commits both with the request.
 pub(crate) async fn finish(
     connection: &mut TargetConnection,
--- a/crates/gullspar_target/src/local_lane.rs
+++ b/crates/gullspar_target/src/local_lane.rs
@@ -166,6 +166,20 @@
                 .await
                 .unwrap_or(Err(Failure::Lost(Unknown::DeadlinePassed)));
         }
+        if let (Some(key), true) = (&head.request_key, head.continues) {
+            let key = format!("{}/{key}", head.caller);
+            let claim = keyed_request::claim_in_transaction(connection, &key, &unit.payload);
+            let claimed = within(&*clock, deadline, claim).await;
+            let refused = claimed
+                .map_err(|_| NotRun::TransactionLost)?
+                .map_err(|_| NotRun::TransactionLost)?;
+            if let Some(report) = refused {
+                let mut held = BytesMut::new();
+                report.encode(&mut held);
+                let (status, error) = (status::FAILED, Some(report.code));
+                return Ok(Exchanged { held, status, error, ..Exchanged::default() });
+            }
+        }
         let run = exchange_plain(unit, connection, sink);
         within(&*clock, deadline, run)
             .await
