--- a/crates/gullspar/src/run.rs
+++ b/crates/gullspar/src/run.rs
@@ -19,7 +19,8 @@
             return ExitCode::FAILURE;
         }
     };
-    let filter = logforth::filter::rustlog::RustLogFilterBuilder::from_default_env_or("info,tarpc=warn");
+    let filter =
+        logforth::filter::rustlog::RustLogFilterBuilder::from_default_env_or("info,tarpc=warn");
     logforth::starter_log::builder()
         .dispatch(|it| it.filter(filter.build()).append(append::Stderr::default()))
         .apply();
--- a/crates/gullspar_border/src/lib.rs
+++ b/crates/gullspar_border/src/lib.rs
@@ -13,7 +13,9 @@
 pub use entropy::{Entropy, jittered};
 pub use link::{Dialer, Link};
 pub use peers::{
-    ConfigEntry, InstanceReport, MemberReport, OutcomeCount, PeerError, PeerHandler, PeerReply, PeerRequest, Peers,
-    PrimaryView,
+    ConfigEntry, InstanceReport, MemberReport, OutcomeCount, PeerError, PeerHandler, PeerReply,
+    PeerRequest, Peers, PrimaryView,
+};
+pub use platform::{
+    ObjectVersion, Platform, PlatformError, PlatformInstance, StoredObject, WatchReply,
 };
-pub use platform::{ObjectVersion, Platform, PlatformError, PlatformInstance, StoredObject, WatchReply};
--- a/crates/gullspar_caller/src/cancel_registry.rs
+++ b/crates/gullspar_caller/src/cancel_registry.rs
@@ -6,8 +6,9 @@
 
 use gullspar_border::{Entropy, PeerRequest};
 use gullspar_fleet::Fleet;
+use gullspar_target::Canceller;
 
-type CancelSlot = Rc<RefCell<Option<Rc<dyn Fn()>>>>;
+type CancelSlot = Rc<RefCell<Option<Canceller>>>;
 
 struct Entry {
     secret: i32,
@@ -96,7 +97,7 @@
 
 impl Registered {
     /// Says what a cancel request would have to stop.
-    pub(crate) fn set_running(&self, cancel: Option<Rc<dyn Fn()>>) {
+    pub(crate) fn set_running(&self, cancel: Option<Canceller>) {
         *self.running.borrow_mut() = cancel;
     }
 }
--- a/crates/gullspar_caller/src/classifier.rs
+++ b/crates/gullspar_caller/src/classifier.rs
@@ -63,9 +63,8 @@
         [] => StatementKind::Data(Access::Read),
         [single] => kind_of_single(single),
         several => {
-            let reads = several.iter().all(|it| {
-                kind_of_single(it) == StatementKind::Data(Access::Read)
-            });
+            let reads =
+                several.iter().all(|it| kind_of_single(it) == StatementKind::Data(Access::Read));
             if reads { StatementKind::Data(Access::Read) } else { script(several) }
         }
     }
@@ -127,8 +126,7 @@
 }
 
 fn by_first_word(sql: &str) -> StatementKind {
-    let word: String =
-        sql.trim_start().chars().take_while(char::is_ascii_alphabetic).collect();
+    let word: String = sql.trim_start().chars().take_while(char::is_ascii_alphabetic).collect();
     match word.to_ascii_uppercase().as_str() {
         "COPY" => StatementKind::Refused("COPY is not supported; use INSERT or SELECT"),
         "RESET" => StatementKind::Reset,
--- a/crates/gullspar_caller/src/request_reader.rs
+++ b/crates/gullspar_caller/src/request_reader.rs
@@ -147,11 +147,8 @@
         let Some(prepared) = self.prepared.get(name) else { return name.to_owned() };
         let shared = prepared.shared_name(name);
         if batch.parsed.insert(name.to_owned()) {
-            let message = texts_and_rest(
-                LaneFrame::SILENT_PARSE,
-                &[&shared, &prepared.sql],
-                &prepared.types,
-            );
+            let message =
+                texts_and_rest(LaneFrame::SILENT_PARSE, &[&shared, &prepared.sql], &prepared.types);
             batch.payload.extend_from_slice(message.bytes());
         }
         shared
--- a/crates/gullspar_caller/src/router.rs
+++ b/crates/gullspar_caller/src/router.rs
@@ -12,7 +12,7 @@
 use gullspar_model::{
     Access, DataCentre, GroupSpec, InstanceRecord, MemberName, MemberSpec, NotRun, Outcome, Unknown,
 };
-use gullspar_target::{FrameSink, Unit};
+use gullspar_target::{Canceller, FrameSink, Unit};
 use gullspar_wire::LaneUnit;
 
 use crate::caller_sink::CallerSink;
@@ -78,12 +78,7 @@
 impl Router {
     /// A router over the lanes of `lanes`.
     pub fn new(fleet: Rc<Fleet>, lanes: Rc<LanePool>) -> Rc<Router> {
-        Rc::new(Router {
-            fleet,
-            lanes,
-            budget: RetryBudget::default(),
-            scores: RefCell::default(),
-        })
+        Rc::new(Router { fleet, lanes, budget: RetryBudget::default(), scores: RefCell::default() })
     }
 
     /// Gives back a lane that is no longer needed.
@@ -96,7 +91,7 @@
         &self,
         routed: &mut Routed<'_>,
         sink: &mut CallerSink<'_>,
-        on_lane: &dyn Fn(Option<Rc<dyn Fn()>>),
+        on_lane: &dyn Fn(Option<Canceller>),
     ) -> Routing {
         self.budget.fill();
         let mut pause = FIRST_PAUSE;
@@ -134,7 +129,7 @@
         &self,
         routed: &mut Routed<'_>,
         sink: &mut CallerSink<'_>,
-        on_lane: &dyn Fn(Option<Rc<dyn Fn()>>),
+        on_lane: &dyn Fn(Option<Canceller>),
     ) -> Routing {
         let primary = self.primary(&routed.group.name);
         if routed.replica_allowed {
@@ -211,7 +206,7 @@
         routed: &mut Routed<'_>,
         member: &MemberSpec,
         sink: &mut CallerSink<'_>,
-        on_lane: &dyn Fn(Option<Rc<dyn Fn()>>),
+        on_lane: &dyn Fn(Option<Canceller>),
     ) -> Routing {
         let on_primary = routed.unit.head.on_primary;
         let key = GroupWatch::target_key(&routed.group.name, &member.name);
@@ -235,7 +230,7 @@
         home: &InstanceRecord,
         routed: &Routed<'_>,
         sink: &mut dyn FrameSink,
-        on_lane: &dyn Fn(Option<Rc<dyn Fn()>>),
+        on_lane: &dyn Fn(Option<Canceller>),
     ) -> (Outcome, Option<HeldLane>) {
         let clock = Rc::clone(&self.fleet.borders().clock);
         let deadline = routed.deadline.min(clock.now() + LANE_WITHIN);
--- a/crates/gullspar_caller/src/scram_exchange.rs
+++ b/crates/gullspar_caller/src/scram_exchange.rs
@@ -40,9 +40,10 @@
     let digits: Option<Vec<u32>> = text.chars().map(|it| it.to_digit(16)).collect();
     let digits = digits?;
     let pairs = digits.chunks_exact(2);
-    pairs.remainder().is_empty().then(|| {
-        digits.chunks_exact(2).map(|it| (it[0] << 4 | it[1]) as u8).collect()
-    })
+    pairs
+        .remainder()
+        .is_empty()
+        .then(|| digits.chunks_exact(2).map(|it| (it[0] << 4 | it[1]) as u8).collect())
 }
 
 impl AuthenticationProvider for Verifier {
--- a/crates/gullspar_caller/src/session.rs
+++ b/crates/gullspar_caller/src/session.rs
@@ -6,7 +6,7 @@
 use bytes::{BufMut, BytesMut};
 use futures::future::{self, Either};
 use gullspar_model::{Access, NotRun, Outcome, Token, Unknown};
-use gullspar_target::Unit;
+use gullspar_target::{Canceller, Unit};
 use gullspar_wire::{
     Channel, ErrorReport, Frame, LaneRequirement, LaneUnit, WireError, caller, command_complete,
     parameter_status, ready, status, target,
@@ -403,7 +403,7 @@
             replica_allowed: plan.replica_allowed,
         };
         let registered = &self.registered;
-        let on_lane = |cancel: Option<Rc<dyn Fn()>>| registered.set_running(cancel);
+        let on_lane = |cancel: Option<Canceller>| registered.set_running(cancel);
         self.server.router.route(&mut routed, sink, &on_lane).await
     }
 
@@ -520,9 +520,10 @@
         channel: &mut Channel,
         req: &Request,
     ) -> Result<(), WireError> {
-        let ends = req.statements.iter().any(|it| {
-            matches!(it.kind, StatementKind::Commit | StatementKind::RollBack)
-        });
+        let ends = req
+            .statements
+            .iter()
+            .any(|it| matches!(it.kind, StatementKind::Commit | StatementKind::RollBack));
         if !ends {
             let report = ErrorReport::error("25P02", "the transaction was lost and must be ended")
                 .with_hint("not run; roll back and begin again");
@@ -658,9 +659,7 @@
 
 fn refusal(req: &Request) -> Option<ErrorReport> {
     req.statements.iter().chain(&req.described).find_map(|it| match it.kind {
-        StatementKind::Refused(why) => {
-            Some(ErrorReport::error("0A000", why).with_hint("not run"))
-        }
+        StatementKind::Refused(why) => Some(ErrorReport::error("0A000", why).with_hint("not run")),
         _ => None,
     })
 }
--- a/crates/gullspar_caller/src/session_state.rs
+++ b/crates/gullspar_caller/src/session_state.rs
@@ -12,9 +12,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum TransactionState {
     Idle,
-    Open { on_primary: bool },
+    Open {
+        on_primary: bool,
+    },
     /// The target failed it, or it was lost; only its end is accepted.
-    Failed { on_target: bool },
+    Failed {
+        on_target: bool,
+    },
 }
 
 /// A lane that carries this session's transaction or session state.
--- a/crates/gullspar_fleet/src/gossip.rs
+++ b/crates/gullspar_fleet/src/gossip.rs
@@ -155,8 +155,8 @@
                 self.object_to(record);
                 continue;
             }
-            let dead_at = (record.state == InstanceState::Suspect)
-                .then_some(now + self.timing.suspect_for);
+            let dead_at =
+                (record.state == InstanceState::Suspect).then_some(now + self.timing.suspect_for);
             self.learn(record, dead_at);
         }
     }
--- a/crates/gullspar_group/src/suspicion.rs
+++ b/crates/gullspar_group/src/suspicion.rs
@@ -45,7 +45,10 @@
             if now > last + PAUSED {
                 // What looks like everybody's silence was our own: judged on it, a paused instance
                 // would depose a healthy primary the moment it wakes.
-                log::info!("G0206 this instance was paused, silence of {} is discounted", self.name);
+                log::info!(
+                    "G0206 this instance was paused, silence of {} is discounted",
+                    self.name
+                );
                 self.was_paused();
                 needed_since = None;
             }
@@ -113,9 +116,7 @@
         let views = self.views.borrow();
         let able = spec.members.iter().filter(|it| !it.leaving).any(|it| {
             let status = views.get(&it.name).and_then(|it| it.status);
-            status.is_some_and(|it| {
-                it.role == MemberRole::Replica && it.takes_part_in(leader.term)
-            })
+            status.is_some_and(|it| it.role == MemberRole::Replica && it.takes_part_in(leader.term))
         });
         leaving && able
     }
@@ -189,12 +190,16 @@
         let graceful = matches!(need, Need::Leaving);
         match Promotion::new(Rc::clone(self)).run(base, graceful).await {
             Ok(leader) => {
-                log::warn!("G0208 {} is led by {} in term {}", self.name, leader.member, leader.term.0);
+                log::warn!(
+                    "G0208 {} is led by {} in term {}",
+                    self.name,
+                    leader.member,
+                    leader.term.0
+                );
             }
             Err(err) => {
                 log::warn!("G0209 promoting in {} failed: {err}", self.name);
-                let pause =
-                    gullspar_border::jittered(&*self.borders().entropy, RETRY_PAUSE);
+                let pause = gullspar_border::jittered(&*self.borders().entropy, RETRY_PAUSE);
                 let deadline = self.now() + pause;
                 self.borders().clock.sleep_until(deadline).await;
             }
--- a/crates/gullspar_group/src/target_control.rs
+++ b/crates/gullspar_group/src/target_control.rs
@@ -5,9 +5,7 @@
 use std::time::Instant;
 
 use gullspar_border::{Clock, Dialer, within};
-use gullspar_model::{
-    LogPosition, MemberName, MemberRole, MemberStatus, Term,
-};
+use gullspar_model::{LogPosition, MemberName, MemberRole, MemberStatus, Term};
 use gullspar_wire::{QueryClient, QueryRow, WireError};
 use quick_error::quick_error;
 
--- a/crates/gullspar_instance/src/instance.rs
+++ b/crates/gullspar_instance/src/instance.rs
@@ -170,8 +170,7 @@
     let fleet = Fleet::new(own, settings.seeds.clone(), borders, timing.fleet);
     let groups = GroupManager::new(Rc::clone(&fleet), timing.group);
     let pools = Pools::new(Rc::clone(&fleet), Rc::clone(&groups));
-    let lanes =
-        Lanes::new(Rc::clone(&fleet), Rc::clone(&pools), settings.lane_secret.clone());
+    let lanes = Lanes::new(Rc::clone(&fleet), Rc::clone(&pools), settings.lane_secret.clone());
     let router = Router::new(Rc::clone(&fleet), LanePool::new(lanes));
     let cancels = CancelRegistry::new(Rc::clone(&fleet));
     let stats = Rc::new(CallerStats::default());
--- a/crates/gullspar_lab/src/borders.rs
+++ b/crates/gullspar_lab/src/borders.rs
@@ -32,7 +32,11 @@
             clock: Rc::clone(&clock),
             side: side.clone(),
         }),
-        peers: Rc::new(LabPeers { inner: inner.peers, clock: Rc::clone(&clock), side: side.clone() }),
+        peers: Rc::new(LabPeers {
+            inner: inner.peers,
+            clock: Rc::clone(&clock),
+            side: side.clone(),
+        }),
         platform: Rc::new(LabPlatform { inner: inner.platform, clock: Rc::clone(&clock), side }),
         entropy: inner.entropy,
         clock,
--- a/crates/gullspar_lab/src/faults.rs
+++ b/crates/gullspar_lab/src/faults.rs
@@ -72,7 +72,11 @@
             }
             FaultChange::Cut { between, and, cut } => {
                 let pair = ordered(&between, &and);
-                if cut { state.cuts.insert(pair) } else { state.cuts.remove(&pair) };
+                if cut {
+                    state.cuts.insert(pair)
+                } else {
+                    state.cuts.remove(&pair)
+                };
             }
             FaultChange::Isolate { data_centre, cut } => {
                 if cut {
--- a/crates/gullspar_lab/src/group/control.rs
+++ b/crates/gullspar_lab/src/group/control.rs
@@ -15,10 +15,22 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum ControlCall {
     /// Answers when the status differs from what is known, or after the waiting time.
-    Status { known_term: Term, known_fence: Term, known_position: LogPosition, wait_ms: u64 },
-    Fence { term: Term },
-    Promote { term: Term },
-    Follow { term: Term, primary: MemberName },
+    Status {
+        known_term: Term,
+        known_fence: Term,
+        known_position: LogPosition,
+        wait_ms: u64,
+    },
+    Fence {
+        term: Term,
+    },
+    Promote {
+        term: Term,
+    },
+    Follow {
+        term: Term,
+        primary: MemberName,
+    },
 }
 
 const PREFIX: &str = "SELECT * FROM group_";
@@ -114,8 +126,7 @@
         MemberRole::Replica => "replica",
         MemberRole::Detached => "detached",
     };
-    let numbers =
-        [status.term.0, status.fence.0, status.last_record_term.0, status.position.0];
+    let numbers = [status.term.0, status.fence.0, status.last_record_term.0, status.position.0];
     let mut row = vec![SqlValue::Text(role.to_owned())];
     row.extend(numbers.iter().map(|it| SqlValue::Integer(*it as i64)));
     let names = ["role", "term", "fence", "last_record_term", "position"];
--- a/crates/gullspar_lab/src/group/mod.rs
+++ b/crates/gullspar_lab/src/group/mod.rs
@@ -48,11 +48,16 @@
     let members: Members = Rc::new(members);
     let mut tasks = Vec::new();
     for (member, listener) in settings.members.iter().zip(listeners) {
-        let follow = replication::run(member.name.clone(), Rc::clone(&members), Arc::clone(&faults));
+        let follow =
+            replication::run(member.name.clone(), Rc::clone(&members), Arc::clone(&faults));
         tasks.push(compio::runtime::spawn(follow));
         let listener = TcpListener::from_std(listener)?;
-        let accept =
-            session::accept(listener, member.name.clone(), Rc::clone(&members), Arc::clone(&faults));
+        let accept = session::accept(
+            listener,
+            member.name.clone(),
+            Rc::clone(&members),
+            Arc::clone(&faults),
+        );
         tasks.push(compio::runtime::spawn(accept));
     }
     std::future::pending().await
--- a/crates/gullspar_lab/src/group/session/mod.rs
+++ b/crates/gullspar_lab/src/group/session/mod.rs
@@ -30,8 +30,7 @@
         if faults.target(&member.borrow().target) == TargetFault::Stopped {
             continue;
         }
-        let session =
-            session_loop::run(stream, name.clone(), members.clone(), Arc::clone(&faults));
+        let session = session_loop::run(stream, name.clone(), members.clone(), Arc::clone(&faults));
         compio::runtime::spawn(session).detach();
     }
 }
--- a/crates/gullspar_lab/src/group/session/session_loop.rs
+++ b/crates/gullspar_lab/src/group/session/session_loop.rs
@@ -6,6 +6,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::portal::{Portal, Prepared};
+use super::value::{SqlValue, type_id};
+use super::{SqlError, wire};
+use crate::Faults;
+use crate::faults::TargetFault;
+use crate::group::control::ControlCall;
+use crate::group::sql_result::{SqlColumn, SqlResult};
+use crate::group::{Member, Members};
 use bytes::{Buf, BytesMut};
 use compio::net::TcpStream;
 use futures::future;
@@ -15,14 +23,6 @@
     Channel, ErrorReport, Frame, WireError, bind_parts, caller, parameter_status, parse_parts,
     ready, startup_parameters, status, subject, target,
 };
-use super::portal::{Portal, Prepared};
-use super::value::{SqlValue, type_id};
-use super::{SqlError, wire};
-use crate::Faults;
-use crate::faults::TargetFault;
-use crate::group::control::ControlCall;
-use crate::group::sql_result::{SqlColumn, SqlResult};
-use crate::group::{Member, Members};
 
 /// A client that sends nothing for this long while it holds the database's lock is cut off.
 const LONGEST_PAUSE_IN_TRANSACTION: Duration = Duration::from_secs(30);
@@ -259,7 +259,7 @@
                     self.channel.queue(types.bytes());
                     self.columns(&prepared.sql)?
                 } else {
-                    self.portal_result(&name.to_owned()).await?.columns
+                    self.portal_result(name).await?.columns
                 };
                 if columns.is_empty() {
                     self.channel.queue(Frame::new(target::NO_DATA, &[]).bytes());
@@ -364,8 +364,8 @@
         }
         let superseded = {
             let member = self.member.borrow();
-            let same = self.begun_under == Some(member.term);
-            !self.pending.is_empty() && !(same && member.role == MemberRole::Primary)
+            let leads = self.begun_under == Some(member.term) && member.role == MemberRole::Primary;
+            !self.pending.is_empty() && !leads
         };
         if superseded {
             self.roll_back();
--- a/crates/gullspar_lab/src/lab.rs
+++ b/crates/gullspar_lab/src/lab.rs
@@ -10,7 +10,8 @@
 use futures::future;
 use gullspar_instance::InstanceTiming;
 use gullspar_model::{
-    CallerSpec, DataCentre, GroupName, GroupObject, GroupSpec, MemberName, MemberSpec, ServiceObject, record,
+    CallerSpec, DataCentre, GroupName, GroupObject, GroupSpec, MemberName, MemberSpec,
+    ServiceObject, record,
 };
 use gullspar_net::StoredInstance;
 use gullspar_settings::InstanceSettings;
--- a/crates/gullspar_lab/src/lab_instance.rs
+++ b/crates/gullspar_lab/src/lab_instance.rs
@@ -91,8 +91,7 @@
     /// Starts the instance again on the same addresses.
     pub fn restart(&mut self) {
         self.kill();
-        let (tx, thread) =
-            spawn(self.settings.clone(), self.timing, Arc::clone(&self.network));
+        let (tx, thread) = spawn(self.settings.clone(), self.timing, Arc::clone(&self.network));
         self.tx = tx;
         self.thread = Some(thread);
     }
--- a/crates/gullspar_lab/src/lib.rs
+++ b/crates/gullspar_lab/src/lib.rs
@@ -4,19 +4,27 @@
 //! model of a cluster.
 
 mod borders;
+mod client;
 mod control_server;
 mod faults;
 pub mod group;
+mod history;
 mod lab;
 mod lab_instance;
 mod lab_settings;
 mod network;
 pub mod platform;
+mod workload;
 
+pub use client::{Answer, Client, Verdict};
 pub use control_server::{LabCommand, run_control};
 pub use faults::{FaultChange, Faults, TargetFault};
-pub use lab::{Lab, LabAddresses, LabError, LabTarget};
 pub use gullspar_instance::termination;
+pub use history::{History, Violations, WriteRecord};
+pub use lab::{Lab, LabAddresses, LabError, LabTarget};
 pub use lab_instance::{InstanceAddresses, LabInstance};
-pub use lab_settings::{LabCaller, LabInstanceSettings, LabMember, LabService, LabSettings, verifier};
+pub use lab_settings::{
+    LabCaller, LabInstanceSettings, LabMember, LabService, LabSettings, verifier,
+};
 pub use network::Network;
+pub use workload::{Workload, WorkloadSettings};
--- /dev/null
+++ b/crates/gullspar_lab/src/workload.rs
@@ -0,0 +1,159 @@
+//! Callers that write and read, and note what they are told.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use crate::client::{Client, Verdict};
+use crate::history::{History, WriteRecord};
+
+/// Pause before a caller that was refused or disconnected tries again.
+const RETRY_PAUSE: Duration = Duration::from_millis(10);
+
+/// How callers of a workload behave.
+#[derive(Clone, Debug)]
+pub struct WorkloadSettings {
+    /// Instances that callers move between, one after each few requests.
+    pub addresses: Vec<SocketAddr>,
+    pub service: String,
+    pub user: String,
+    pub callers: usize,
+    /// Pause between two writes of a caller.
+    pub pause: Duration,
+    /// Whether each write is followed by a read that must see it, at another instance.
+    pub read_back: bool,
+    /// Whether that read takes the session token along.
+    pub carry_token: bool,
+    /// Whether each write carries a request key and is repeated when its outcome is unknown.
+    pub keyed: bool,
+}
+
+/// A workload that runs until it is stopped.
+pub struct Workload {
+    stop: Arc<AtomicBool>,
+    thread: Option<std::thread::JoinHandle<History>>,
+}
+
+impl Workload {
+    /// Starts the callers on a thread of their own.
+    pub fn start(settings: WorkloadSettings) -> Workload {
+        let stop = Arc::new(AtomicBool::new(false));
+        let seen = Arc::clone(&stop);
+        let thread = std::thread::spawn(move || {
+            let Ok(runtime) = compio::runtime::Runtime::new() else { return History::default() };
+            runtime.block_on(async move {
+                let settings = std::rc::Rc::new(settings);
+                let callers: Vec<_> = (0..settings.callers)
+                    .map(|number| {
+                        let caller = run_caller(number, settings.clone(), Arc::clone(&seen));
+                        compio::runtime::spawn(caller)
+                    })
+                    .collect();
+                let mut history = History::default();
+                for caller in callers {
+                    if let Ok(part) = caller.await {
+                        history.merge(part);
+                    }
+                }
+                history
+            })
+        });
+        Workload { stop, thread: Some(thread) }
+    }
+
+    /// Stops the callers after their present request and gives what they were told.
+    pub fn stop(mut self) -> History {
+        self.stop.store(true, Ordering::Relaxed);
+        let thread = self.thread.take();
+        thread.and_then(|it| it.join().ok()).unwrap_or_default()
+    }
+}
+
+async fn run_caller(
+    number: usize,
+    settings: std::rc::Rc<WorkloadSettings>,
+    stop: Arc<AtomicBool>,
+) -> History {
+    let mut history = History::default();
+    let mut turn = number;
+    let mut client = None;
+    let mut sequence = 0;
+    while !stop.load(Ordering::Relaxed) {
+        let address = settings.addresses[turn % settings.addresses.len()];
+        let mut connected = match client.take() {
+            Some(connected) => connected,
+            None => {
+                let connecting = Client::connect(address, &settings.user, &settings.service, None);
+                match compio::time::timeout(Duration::from_secs(2), connecting).await {
+                    Ok(Ok(connected)) => connected,
+                    _ => {
+                        turn += 1;
+                        compio::time::sleep(RETRY_PAUSE).await;
+                        continue;
+                    }
+                }
+            }
+        };
+        sequence += 1;
+        let id = format!("w{number}-{sequence}");
+        let verdict = write(&mut connected, &id, &settings, &mut history).await;
+        if verdict == Verdict::Done && settings.read_back {
+            let token = connected.token.clone();
+            turn += 1;
+            read_back(&id, token, turn, &settings, &mut history).await;
+        }
+        if verdict == Verdict::Done {
+            client = Some(connected);
+        } else {
+            turn += 1;
+            compio::time::sleep(RETRY_PAUSE).await;
+        }
+        if !settings.pause.is_zero() {
+            compio::time::sleep(settings.pause).await;
+        }
+    }
+    history
+}
+
+async fn write(
+    client: &mut Client,
+    id: &str,
+    settings: &WorkloadSettings,
+    history: &mut History,
+) -> Verdict {
+    let mark = if settings.keyed { format!("/* gullspar key={id} */ ") } else { String::new() };
+    let sql = format!("{mark}INSERT INTO ledger VALUES ('{id}')");
+    let asked_at = Instant::now();
+    // A connection that breaks before the answer leaves its caller not knowing.
+    let verdict = match client.query(&sql).await {
+        Ok(answer) => answer.verdict(),
+        Err(_) => Verdict::Unknown,
+    };
+    let record = WriteRecord { id: id.to_owned(), verdict, asked_at, answered_at: Instant::now() };
+    history.writes.push(record);
+    verdict
+}
+
+async fn read_back(
+    id: &str,
+    token: Option<String>,
+    turn: usize,
+    settings: &WorkloadSettings,
+    history: &mut History,
+) {
+    let address = settings.addresses[turn % settings.addresses.len()];
+    let token = token.filter(|_| settings.carry_token);
+    let connecting = Client::connect(address, &settings.user, &settings.service, token.as_deref());
+    let Ok(Ok(mut other)) = compio::time::timeout(Duration::from_secs(2), connecting).await else {
+        return;
+    };
+    let sql = format!("SELECT id FROM ledger WHERE id = '{id}'");
+    let Ok(answer) = other.query(&sql).await else { return };
+    if answer.verdict() == Verdict::Done {
+        history.reads += 1;
+        if answer.rows.is_empty() {
+            history.stale.push(id.to_owned());
+        }
+    }
+}
--- /dev/null
+++ b/crates/gullspar_lab/tests/support/mod.rs
@@ -0,0 +1,96 @@
+//! A small lab and callers of it, for tests.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+#![allow(clippy::unwrap_used, reason = "a test that can't go on must fail")]
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use gullspar_lab::{Client, Lab, LabSettings};
+
+/// How long anything in a test may take before the test is called failed.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A running lab with one service, `tours`, in front of one group, `core`.
+pub struct LabUnderTest {
+    pub lab: Lab,
+}
+
+impl LabUnderTest {
+    /// The lab of `resources/small.jsonc`, once its group is led.
+    pub fn small() -> LabUnderTest {
+        LabUnderTest::with(|_| {})
+    }
+
+    /// The same with changed settings.
+    pub fn with(change: impl FnOnce(&mut LabSettings)) -> LabUnderTest {
+        let text = include_str!("../../resources/small.jsonc");
+        let mut settings = LabSettings::parse("small.jsonc", text).unwrap();
+        change(&mut settings);
+        let lab = LabUnderTest { lab: Lab::start(settings).unwrap() };
+        lab.wait_for("a primary with its replicas", || lab.lab.is_led());
+        lab
+    }
+
+    /// Waits until `ready`, or fails naming `what`.
+    pub fn wait_for(&self, what: &str, mut ready: impl FnMut() -> bool) {
+        let deadline = Instant::now() + PATIENCE;
+        while !ready() {
+            assert!(Instant::now() < deadline, "there was no {what} in time");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Where instance `index` takes callers.
+    pub fn caller_address(&self, index: usize) -> SocketAddr {
+        self.lab.instances[index].addresses.caller
+    }
+
+    /// Where all instances take callers.
+    pub fn caller_addresses(&self) -> Vec<SocketAddr> {
+        self.lab.instances.iter().map(|it| it.addresses.caller).collect()
+    }
+
+    /// A caller connected to instance `index`, once that one knows the service.
+    pub async fn connect(&self, index: usize, user: &str) -> Client {
+        let address = self.caller_address(index);
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            match Client::connect(address, user, "tours", None).await {
+                Ok(client) => return client,
+                Err(err) if Instant::now() >= deadline => panic!("no connection: {err}"),
+                Err(_) => compio::time::sleep(Duration::from_millis(20)).await,
+            }
+        }
+    }
+
+    /// What the ledger holds, read as a strict caller.
+    pub async fn ledger(&self) -> Vec<String> {
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            for index in 0..self.lab.instances.len() {
+                if !self.lab.instances[index].is_running() {
+                    continue;
+                }
+                let mut client = self.connect(index, "strict").await;
+                let answer = client.query("SELECT id FROM ledger").await;
+                if let Ok(answer) = answer
+                    && answer.error.is_none()
+                {
+                    return answer.rows.into_iter().flatten().flatten().collect();
+                }
+            }
+            assert!(Instant::now() < deadline, "the ledger could not be read in time");
+        }
+    }
+
+    /// The group's primary, as `group/member`.
+    pub fn primary(&self) -> String {
+        format!("core/{}", self.lab.primary("core").unwrap())
+    }
+}
+
+/// Runs a future on a runtime of its own.
+pub fn run<T>(fut: impl Future<Output = T>) -> T {
+    compio::runtime::Runtime::new().unwrap().block_on(fut)
+}
--- a/crates/gullspar_model/src/token_key.rs
+++ b/crates/gullspar_model/src/token_key.rs
@@ -35,8 +35,7 @@
 
     /// Writes `token` for `caller`.
     pub fn seal(&self, token: &Token, caller: &CallerName) -> String {
-        let body =
-            format!("{}:{}:{}", token.group, token.point.term.0, token.point.position.0);
+        let body = format!("{}:{}:{}", token.group, token.point.term.0, token.point.position.0);
         let signature = self.sign(&body, caller);
         format!("{body}:{signature}")
     }
--- a/crates/gullspar_net/src/http_platform.rs
+++ b/crates/gullspar_net/src/http_platform.rs
@@ -129,7 +129,8 @@
     ) -> LocalBoxFuture<'a, Result<WatchReply, PlatformError>> {
         async move {
             let path = format!("watch?prefix={prefix}&revision={revision}&wait_ms={wait_ms}");
-            let answer = self.send(self.client.get(self.url(&path)), self.deadline(wait_ms)).await?;
+            let answer =
+                self.send(self.client.get(self.url(&path)), self.deadline(wait_ms)).await?;
             let list: ObjectList = answer.read()?;
             let changed = list.objects.into_iter().map(stored).collect();
             Ok(WatchReply { revision: list.revision, changed })
--- a/crates/gullspar_operator/src/change.rs
+++ b/crates/gullspar_operator/src/change.rs
@@ -25,7 +25,8 @@
 }
 
 fn compare(place: &str, before: Option<&Value>, after: Option<&Value>, out: &mut Vec<Change>) {
-    let join = |name: &str| if place.is_empty() { name.to_owned() } else { format!("{place}.{name}") };
+    let join =
+        |name: &str| if place.is_empty() { name.to_owned() } else { format!("{place}.{name}") };
     match (before, after) {
         (Some(Value::Object(old)), Some(Value::Object(new))) => {
             let mut names: Vec<&String> = old.keys().chain(new.keys()).collect();
--- a/crates/gullspar_operator/src/http.rs
+++ b/crates/gullspar_operator/src/http.rs
@@ -36,7 +36,12 @@
         .with_state(SendWrapper::new(operator))
 }
 
-fn failure(status: StatusCode, error: String, findings: Vec<String>, moved: Vec<Change>) -> Response {
+fn failure(
+    status: StatusCode,
+    error: String,
+    findings: Vec<String>,
+    moved: Vec<Change>,
+) -> Response {
     (status, Json(Failure { error, findings, moved })).into_response()
 }
 
--- a/crates/gullspar_operator/src/metrics.rs
+++ b/crates/gullspar_operator/src/metrics.rs
@@ -8,17 +8,25 @@
 pub(crate) fn prometheus(report: &InstanceReport) -> String {
     let mut page = String::new();
     gauge(&mut page, "gullspar_callers", "Callers connected.", "", report.callers);
-    gauge(&mut page, "gullspar_live_instances", "Instances that take work.", "", report.live_instances);
+    gauge(
+        &mut page,
+        "gullspar_live_instances",
+        "Instances that take work.",
+        "",
+        report.live_instances,
+    );
     page.push_str("# HELP gullspar_requests_total Requests by outcome.\n");
     page.push_str("# TYPE gullspar_requests_total counter\n");
     for it in &report.outcomes {
-        let outcomes =
-            [("done", it.done), ("late", it.late), ("not_run", it.not_run), ("unknown", it.unknown)];
+        let outcomes = [
+            ("done", it.done),
+            ("late", it.late),
+            ("not_run", it.not_run),
+            ("unknown", it.unknown),
+        ];
         for (outcome, count) in outcomes {
-            let labels = format!(
-                "service=\"{}\",class=\"{}\",outcome=\"{outcome}\"",
-                it.service, it.class
-            );
+            let labels =
+                format!("service=\"{}\",class=\"{}\",outcome=\"{outcome}\"", it.service, it.class);
             line(&mut page, "gullspar_requests_total", &labels, count);
         }
     }
--- a/crates/gullspar_settings/src/jsonc_file.rs
+++ b/crates/gullspar_settings/src/jsonc_file.rs
@@ -32,11 +32,8 @@
             properties: BTreeMap::new(),
             findings: Vec::new(),
         };
-        let parsed = jsonc_parser::parse_to_ast(
-            text,
-            &CollectOptions::default(),
-            &ParseOptions::default(),
-        );
+        let parsed =
+            jsonc_parser::parse_to_ast(text, &CollectOptions::default(), &ParseOptions::default());
         match parsed.map(|it| it.value) {
             Ok(Some(Value::Object(object))) => {
                 for property in object.properties {
--- a/crates/gullspar_settings/src/option_doc.rs
+++ b/crates/gullspar_settings/src/option_doc.rs
@@ -19,7 +19,11 @@
             None => "Must be given.".to_owned(),
         };
         let text: Vec<&str> = option.text.lines().map(str::trim).collect();
-        page.push_str(&format!("\n## `{}`\n\n{}\n\n{default}\n", option.name, text.join("\n").trim()));
+        page.push_str(&format!(
+            "\n## `{}`\n\n{}\n\n{default}\n",
+            option.name,
+            text.join("\n").trim()
+        ));
     }
     page
 }
--- a/crates/gullspar_target/src/admission.rs
+++ b/crates/gullspar_target/src/admission.rs
@@ -84,11 +84,7 @@
     ///
     /// A request that would not be served in time is refused on arrival: answered late it would
     /// still cost its place, and its caller has gone.
-    pub async fn enter(
-        self: &Rc<Self>,
-        priority: u8,
-        deadline: Instant,
-    ) -> Result<Permit, NotRun> {
+    pub async fn enter(self: &Rc<Self>, priority: u8, deadline: Instant) -> Result<Permit, NotRun> {
         let now = self.clock.now();
         if now >= deadline {
             return Err(NotRun::DeadlinePassed);
--- a/crates/gullspar_target/src/keyed_request.rs
+++ b/crates/gullspar_target/src/keyed_request.rs
@@ -4,9 +4,7 @@
 //! fall together, through any failover. See `docs/design/at-most-once.md`.
 
 use bytes::BytesMut;
-use gullspar_wire::{
-    ErrorReport, Frame, WireError, caller, command_complete, target,
-};
+use gullspar_wire::{ErrorReport, Frame, WireError, caller, command_complete, target};
 
 use crate::TargetConnection;
 
@@ -136,7 +134,8 @@
     let mut rows = BytesMut::new();
     let mut rest = BytesMut::from(kept);
     while let Ok(Some(frame)) = Frame::take(&mut rest, usize::MAX) {
-        let part = if frame.kind() == target::ROW_DESCRIPTION { &mut description } else { &mut rows };
+        let part =
+            if frame.kind() == target::ROW_DESCRIPTION { &mut description } else { &mut rows };
         part.extend_from_slice(frame.bytes());
     }
     if rows.is_empty() {
@@ -150,8 +149,12 @@
                 answer.extend_from_slice(&description);
                 answer.extend_from_slice(&rows);
             }
-            caller::PARSE => answer.extend_from_slice(Frame::new(target::PARSE_COMPLETE, &[]).bytes()),
-            caller::BIND => answer.extend_from_slice(Frame::new(target::BIND_COMPLETE, &[]).bytes()),
+            caller::PARSE => {
+                answer.extend_from_slice(Frame::new(target::PARSE_COMPLETE, &[]).bytes())
+            }
+            caller::BIND => {
+                answer.extend_from_slice(Frame::new(target::BIND_COMPLETE, &[]).bytes())
+            }
             caller::DESCRIBE if description.is_empty() => {
                 answer.extend_from_slice(Frame::new(target::NO_DATA, &[]).bytes());
             }
--- a/crates/gullspar_target/src/lane.rs
+++ b/crates/gullspar_target/src/lane.rs
@@ -31,6 +31,9 @@
     pub source: WireError,
 }
 
+/// Cancels what a lane is running at the moment of the call.
+pub type Canceller = Rc<dyn Fn()>;
+
 /// Carries units to one target, one after the other.
 ///
 /// A transaction stays on its lane from the first statement to the last.
@@ -46,7 +49,7 @@
     fn is_sound(&self) -> bool;
 
     /// Asks the target to cancel what the lane is running.
-    fn canceller(&self) -> Rc<dyn Fn()>;
+    fn canceller(&self) -> Canceller;
 }
 
 /// Opens lanes.
--- a/crates/gullspar_target/src/lane_server.rs
+++ b/crates/gullspar_target/src/lane_server.rs
@@ -9,14 +9,14 @@
 use gullspar_border::Link;
 use gullspar_wire::{Channel, Frame, LaneFrame, LaneUnit, WireError};
 
-use crate::lane::{FrameSink, Lane, Unit};
+use crate::lane::{Canceller, FrameSink, Lane, Unit};
 use crate::{LocalLane, Pools};
 
 /// The lanes that other instances have open to this one.
 #[derive(Default)]
 pub struct ActiveLanes {
     next: Cell<u64>,
-    cancellers: RefCell<HashMap<u64, Rc<dyn Fn()>>>,
+    cancellers: RefCell<HashMap<u64, Canceller>>,
 }
 
 impl ActiveLanes {
--- a/crates/gullspar_target/src/lib.rs
+++ b/crates/gullspar_target/src/lib.rs
@@ -15,7 +15,7 @@
 mod target_pool;
 
 pub use admission::{Admission, Permit};
-pub use lane::{FrameSink, Lane, LaneError, Lanes, Unit};
+pub use lane::{Canceller, FrameSink, Lane, LaneError, Lanes, Unit};
 pub use lane_server::{ActiveLanes, serve_lanes};
 pub use local_lane::LocalLane;
 pub use pools::{PoolReport, Pools};
--- a/crates/gullspar_target/src/local_lane.rs
+++ b/crates/gullspar_target/src/local_lane.rs
@@ -1,6 +1,7 @@
 //! A lane to a target whose connections this instance holds.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -12,11 +13,11 @@
 use gullspar_model::{Access, LogPoint, MemberStatus, NotRun, Outcome, Term, Unknown};
 use gullspar_wire::{ErrorReport, LaneUnit, WireError, query, status, target};
 
+use crate::Pools;
 use crate::exchange::{Exchange, Verdict};
 use crate::keyed_request::{self, KeyedStart};
-use crate::lane::{FrameSink, Lane, LaneError, Unit};
+use crate::lane::{Canceller, FrameSink, Lane, LaneError, Unit};
 use crate::target_pool::{CheckedOut, TargetPool};
-use crate::Pools;
 
 /// Most that an answer may hold back while it waits for its acknowledgement, in bytes.
 const HELD_LIMIT: usize = 1024 * 1024;
@@ -70,13 +71,19 @@
     term: Option<Term>,
 }
 
-type CancelTarget = Rc<RefCell<Option<(std::net::SocketAddr, (i32, i32), Rc<Cell<bool>>)>>>;
+/// What a cancel request for the running statement needs.
+#[derive(Clone)]
+struct CancelTarget {
+    address: SocketAddr,
+    key: (i32, i32),
+    cancelled: Rc<Cell<bool>>,
+}
 
 /// Runs units on connections of this instance's pools.
 pub struct LocalLane {
     pools: Rc<Pools>,
     pinned: Option<Pinned>,
-    running: CancelTarget,
+    running: Rc<RefCell<Option<CancelTarget>>>,
 }
 
 impl LocalLane {
@@ -94,9 +101,12 @@
             Ok(admitted) => admitted,
             Err(reason) => return Outcome::NotRun(reason),
         };
-        let key = &admitted.checked_out.connection;
-        let cancelled = Rc::clone(&key.cancelled);
-        *self.running.borrow_mut() = Some((admitted.pool.address(), key.cancel_key, cancelled));
+        let connection = &admitted.checked_out.connection;
+        *self.running.borrow_mut() = Some(CancelTarget {
+            address: admitted.pool.address(),
+            key: connection.cancel_key,
+            cancelled: Rc::clone(&connection.cancelled),
+        });
         let result = self.exchange(unit, &mut admitted, sink, started, deadline).await;
         *self.running.borrow_mut() = None;
         match result {
@@ -181,9 +191,7 @@
             }
         }
         let run = exchange_plain(unit, connection, sink);
-        within(&*clock, deadline, run)
-            .await
-            .unwrap_or(Err(Failure::Lost(Unknown::DeadlinePassed)))
+        within(&*clock, deadline, run).await.unwrap_or(Err(Failure::Lost(Unknown::DeadlinePassed)))
     }
 
     /// Runs a request that must run at most once, in one transaction with its key.
@@ -291,10 +299,8 @@
         return Ok(None);
     }
     let leader = watch.leader().ok_or(NotRun::NoPrimary)?;
-    let leads = watch
-        .view(&head.member)
-        .and_then(|it| it.status)
-        .is_some_and(|it| it.leads(leader.term));
+    let leads =
+        watch.view(&head.member).and_then(|it| it.status).is_some_and(|it| it.leads(leader.term));
     if leader.member != head.member || !leads {
         return Err(NotRun::NotPrimary);
     }
@@ -456,19 +462,21 @@
         true
     }
 
-    fn canceller(&self) -> Rc<dyn Fn()> {
+    fn canceller(&self) -> Canceller {
         let running = Rc::clone(&self.running);
         let borders = self.pools.fleet.borders().clone();
         Rc::new(move || {
-            let Some((address, key, cancelled)) = running.borrow().clone() else { return };
+            let Some(running) = running.borrow().clone() else { return };
             // From now on the connection never serves another caller: the target may act on the
             // request late.
-            cancelled.set(true);
+            running.cancelled.set(true);
             let borders = borders.clone();
             compio::runtime::spawn(async move {
                 let deadline = borders.clock.now() + Duration::from_secs(1);
-                let Ok(mut link) = borders.dialer.dial(address, deadline).await else { return };
-                let message = gullspar_wire::cancel_request(key);
+                let Ok(mut link) = borders.dialer.dial(running.address, deadline).await else {
+                    return;
+                };
+                let message = gullspar_wire::cancel_request(running.key);
                 // A cancel request has no answer; the statement goes on if it gets lost.
                 let _ = within(&*borders.clock, deadline, link.send(message)).await;
             })
--- a/crates/gullspar_target/src/pools.rs
+++ b/crates/gullspar_target/src/pools.rs
@@ -54,11 +54,8 @@
             }
             None => {
                 let borders = self.fleet.borders();
-                let pool = TargetPool::new(
-                    Rc::clone(&borders.clock),
-                    Rc::clone(&borders.dialer),
-                    spec,
-                );
+                let pool =
+                    TargetPool::new(Rc::clone(&borders.clock), Rc::clone(&borders.dialer), spec);
                 pools.insert(key, Rc::clone(&pool));
                 pool
             }
--- a/crates/gullspar_target/src/remote_lane.rs
+++ b/crates/gullspar_target/src/remote_lane.rs
@@ -11,7 +11,7 @@
 use gullspar_model::{InstanceRecord, Outcome, Unknown};
 use gullspar_wire::{Channel, Frame, LaneFrame, WireError};
 
-use crate::lane::{FrameSink, Lane, LaneError, Unit};
+use crate::lane::{Canceller, FrameSink, Lane, LaneError, Unit};
 
 /// How much longer than the unit's deadline its home may take to answer; the home keeps the deadline
 /// itself, this only bounds the wait for one that has died.
@@ -86,8 +86,7 @@
     ) -> LocalBoxFuture<'a, Result<Outcome, LaneError>> {
         async move {
             let clock = Rc::clone(&self.fleet.borders().clock);
-            let deadline =
-                clock.now() + Duration::from_millis(unit.head.remaining_ms) + SLACK;
+            let deadline = clock.now() + Duration::from_millis(unit.head.remaining_ms) + SLACK;
             within(&*clock, deadline, self.exchange(unit, sink))
                 .await
                 .unwrap_or(Ok(Outcome::Unknown(Unknown::DeadlinePassed)))
@@ -99,7 +98,7 @@
         self.channel.is_quiet()
     }
 
-    fn canceller(&self) -> Rc<dyn Fn()> {
+    fn canceller(&self) -> Canceller {
         let fleet = Rc::clone(&self.fleet);
         let number = Rc::clone(&self.number);
         let peer = self.peer;
--- a/crates/gullspar_target/src/target_pool.rs
+++ b/crates/gullspar_target/src/target_pool.rs
@@ -115,9 +115,8 @@
             NotRun::Unreachable
         })?;
         let start = QueryClient::start(link, TargetPool::USER, "postgres");
-        let started = within(&*self.clock, deadline, start)
-            .await
-            .map_err(|_| NotRun::DeadlinePassed)?;
+        let started =
+            within(&*self.clock, deadline, start).await.map_err(|_| NotRun::DeadlinePassed)?;
         let client = started.map_err(|err| match err {
             // The target is full all the same, say because a former home still holds connections.
             WireError::Server(report) if report.code == "53300" => {
--- a/crates/gullsparctl/src/client.rs
+++ b/crates/gullsparctl/src/client.rs
@@ -68,9 +68,7 @@
     })
 }
 
-fn call(
-    fut: impl Future<Output = Result<String, CommandError>>,
-) -> Result<String, CommandError> {
+fn call(fut: impl Future<Output = Result<String, CommandError>>) -> Result<String, CommandError> {
     compio::runtime::Runtime::new().map_err(CommandError::Runtime)?.block_on(fut)
 }
 
--- a/crates/gullsparctl/src/command_line.rs
+++ b/crates/gullsparctl/src/command_line.rs
@@ -66,7 +66,9 @@
         .arg_required_else_help(true)
         .subcommand(
             Command::new("up")
-                .about("Starts a lab and prints one line of JSON with all addresses when it listens")
+                .about(
+                    "Starts a lab and prints one line of JSON with all addresses when it listens",
+                )
                 .arg(path("FILE", "The lab: JSON with comments, as labs/midshire.jsonc")),
         )
         .subcommand(
--- a/crates/gullsparctl/src/lab_command.rs
+++ b/crates/gullsparctl/src/lab_command.rs
@@ -44,8 +44,8 @@
     let runtime = compio::runtime::Runtime::new().map_err(CommandError::Runtime)?;
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).map_err(CommandError::Runtime)?;
     lab.addresses.control = listener.local_addr().ok();
-    let addresses = serde_json::to_string(&lab.addresses)
-        .map_err(|err| CommandError::Text(err.to_string()))?;
+    let addresses =
+        serde_json::to_string(&lab.addresses).map_err(|err| CommandError::Text(err.to_string()))?;
     runtime.block_on(async move {
         let (tx, mut rx) = mpsc::unbounded();
         let listener =
--- a/crates/gullsparctl/src/operator_command.rs
+++ b/crates/gullsparctl/src/operator_command.rs
@@ -56,11 +56,7 @@
         ));
         for member in report.members.iter().filter(|it| it.home) {
             let seen = member.status.map_or("not seen".to_owned(), |it| {
-                format!(
-                    "{:?} of term {} at {}",
-                    it.role, it.term.0, it.position.0
-                )
-                .to_lowercase()
+                format!("{:?} of term {} at {}", it.role, it.term.0, it.position.0).to_lowercase()
             });
             lines.push(format!(
                 "  target {}/{}: {seen}, silent {} ms, age {}, {} connections, {} slots busy, {} queued",
