--- a/crates/gullspar_lab/src/group/replication.rs
+++ b/crates/gullspar_lab/src/group/replication.rs
@@ -56,9 +56,11 @@
 }
 
 /// The record that `own` lacks next, while the two are of one term.
+///
+/// A primary that was fenced accepts no more writes and still hands out what it has.
 fn next_record(own: &super::Member, primary: &super::Member) -> Option<LogRecord> {
     let joined = own.role == MemberRole::Replica
-        && primary.role == MemberRole::Primary
+        && primary.role != MemberRole::Replica
         && own.term == primary.term;
     if !joined {
         return None;
--- a/crates/gullspar_lab/tests/support/mod.rs
+++ b/crates/gullspar_lab/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::unwrap_used, reason = "a test that can't go on must fail")]
 
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use gullspar_lab::{Client, Lab, LabSettings};
@@ -84,6 +85,17 @@
         }
     }
 
+    /// The term that the group is led in.
+    pub fn term(&self) -> u64 {
+        let object = self.lab.store.get("gullspar/groups/core").unwrap();
+        object.value["term"].as_u64().unwrap()
+    }
+
+    /// Statements that a target has run.
+    pub fn statements(&self, target: &str) -> u64 {
+        self.lab.counts[target].statements.load(Ordering::Relaxed)
+    }
+
     /// The group's primary, as `group/member`.
     pub fn primary(&self) -> String {
         format!("core/{}", self.lab.primary("core").unwrap())
