--- a/crates/gullspar_lab/src/lab.rs
+++ b/crates/gullspar_lab/src/lab.rs
@@ -13,8 +13,9 @@
     CallerSpec, DataCentre, GroupName, GroupObject, GroupSpec, MemberName, MemberSpec,
     ServiceObject, record,
 };
-use gullspar_net::StoredInstance;
+use gullspar_net::{StoredInstance, TcpLink};
 use gullspar_settings::InstanceSettings;
+use gullspar_wire::QueryClient;
 use quick_error::quick_error;
 
 use crate::group::{GroupSettings, MemberCounts, MemberSettings, run_group};
@@ -210,6 +211,36 @@
         serde_json::from_value::<GroupObject>(stored.value).ok()?.primary
     }
 
+    /// The services of the lab.
+    pub fn services(&self) -> &[LabService] {
+        &self.settings.services
+    }
+
+    /// The term that a group is led in, by what the platform holds.
+    pub fn term(&self, group: &str) -> u64 {
+        let stored = self.store.get(&format!("{}{group}", GroupObject::PREFIX));
+        let object = stored.and_then(|it| serde_json::from_value::<GroupObject>(it.value).ok());
+        object.map_or(0, |it| it.term.0)
+    }
+
+    /// The ids in a group's ledger, read from its primary itself.
+    pub fn ledger(&self, group: &str) -> Vec<String> {
+        let Some(primary) = self.primary(group) else { return Vec::new() };
+        let Some(target) = self.targets(group).find(|it| it.member == primary) else {
+            return Vec::new();
+        };
+        let address = target.address;
+        let read = async move {
+            let stream = compio::net::TcpStream::connect(address).await.ok()?;
+            let link = Box::new(TcpLink::new(stream));
+            let mut client = QueryClient::start(link, "checker", "postgres").await.ok()?;
+            client.query("SELECT id FROM ledger").await.ok()
+        };
+        let runtime = compio::runtime::Runtime::new();
+        let rows = runtime.ok().and_then(|it| it.block_on(read)).unwrap_or_default();
+        rows.into_iter().flatten().flatten().collect()
+    }
+
     /// The targets of a group.
     pub fn targets<'l>(&'l self, group: &'l str) -> impl Iterator<Item = &'l LabTarget> {
         self.addresses.targets.iter().filter(move |it| it.group.as_str() == group)
--- a/crates/gullspar_lab/src/workload.rs
+++ b/crates/gullspar_lab/src/workload.rs
@@ -27,6 +27,8 @@
     pub carry_token: bool,
     /// Whether each write carries a request key and is repeated when its outcome is unknown.
     pub keyed: bool,
+    /// Begins all ids, so that runs on one lab are told apart.
+    pub prefix: String,
 }
 
 /// A workload that runs until it is stopped.
@@ -96,7 +98,7 @@
             }
         };
         sequence += 1;
-        let id = format!("w{number}-{sequence}");
+        let id = format!("{}w{number}-{sequence}", settings.prefix);
         let verdict = write(&mut connected, &id, &settings, &mut history).await;
         if verdict == Verdict::Done && settings.read_back {
             let token = connected.token.clone();
--- a/crates/gullspar_lab/tests/failover.rs
+++ b/crates/gullspar_lab/tests/failover.rs
@@ -18,6 +18,7 @@
         read_back: true,
         carry_token: true,
         keyed: false,
+        prefix: String::new(),
     }
 }
 
@@ -46,8 +47,7 @@
     let load = Workload::start(workload(&lab));
     std::thread::sleep(Duration::from_millis(500));
     let old = lab.primary();
-    let data_centre =
-        lab.lab.targets("core").find(|it| old.ends_with(it.member.as_str())).unwrap();
+    let data_centre = lab.lab.targets("core").find(|it| old.ends_with(it.member.as_str())).unwrap();
     let data_centre = data_centre.data_centre.clone();
     let isolate = |cut| FaultChange::Isolate { data_centre: data_centre.clone(), cut };
     match how {
