Settle the fate of writes when a primary is superseded

Cause: writes in flight when a primary failed waited for their deadline and ended unknown, two instances claimed on top of each other, and an instance that had been cut off deposed a healthy primary as soon as its links were back (it took itself for the home of every member and outvoted nobody). Change: a promotion records the end of the log it took over, so a waiting write is acknowledged under the new term or known to be undone; a claim gives way to one it did not know of; a primary is deposed only while a majority is reachable and a fresh call to it fails; requests let go of a superseded primary. Ruled out: a longer pause between claimants, which lengthens every failover.

--- a/crates/gullspar_caller/src/router.rs
+++ b/crates/gullspar_caller/src/router.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use futures::future;
+use futures::future::{self, Either};
 use gullspar_border::{jittered, within};
 use gullspar_fleet::Fleet;
 use gullspar_group::GroupWatch;
@@ -28,6 +28,9 @@
 /// A target whose home can't be reached is avoided for so long.
 const AVOID_UNREACHABLE_FOR: Duration = Duration::from_millis(1500);
 
+/// How long the home of a superseded primary may take to tell the fate of what it was running.
+const SUPERSEDED_GRACE: Duration = Duration::from_millis(150);
+
 /// Replicas tried for one read before the primary is.
 const REPLICA_TRIES: usize = 2;
 
@@ -242,8 +245,9 @@
             }
         };
         on_lane(Some(lane.canceller()));
-        let result = lane.run(&routed.unit, sink).await;
+        let result = self.unless_superseded(&routed.unit.head, lane.run(&routed.unit, sink)).await;
         on_lane(None);
+        let Some(result) = result else { return (superseded(&routed.unit.head), None) };
         match result {
             Ok(outcome) => {
                 // A lane with an unknown outcome may still carry a late answer.
@@ -263,6 +267,37 @@
         }
     }
 
+    /// Awaits what a lane brings, but not long after the primary that it leads to was superseded.
+    ///
+    /// A hung primary, or a home that is cut off, would hold the request until its deadline although
+    /// its outcome can't get better any more, and a request with a key could long have run elsewhere.
+    pub(crate) async fn unless_superseded<T>(
+        &self,
+        head: &LaneUnit,
+        run: impl Future<Output = T>,
+    ) -> Option<T> {
+        if !head.on_primary {
+            return Some(run.await);
+        }
+        let term = self.fleet.config.group(&head.group).map(|it| it.object.term);
+        let ended = async {
+            loop {
+                let changed = self.fleet.config.listen();
+                if self.fleet.config.group(&head.group).map(|it| it.object.term) != term {
+                    break;
+                }
+                changed.await;
+            }
+            let clock = &self.fleet.borders().clock;
+            clock.sleep_until(clock.now() + SUPERSEDED_GRACE).await;
+        };
+        futures::pin_mut!(run, ended);
+        match future::select(run, ended).await {
+            Either::Left((output, _)) => Some(output),
+            Either::Right(_) => None,
+        }
+    }
+
     fn learn(&self, key: String, outcome: &Outcome, took: Duration, now: Instant) {
         let mut scores = self.scores.borrow_mut();
         let score = scores.entry(key).or_default();
@@ -284,6 +319,15 @@
     }
 }
 
+/// What is known of a unit whose primary was superseded while it ran.
+pub(crate) fn superseded(head: &LaneUnit) -> Outcome {
+    if head.continues && !head.commits {
+        Outcome::NotRun(NotRun::TransactionLost)
+    } else {
+        Outcome::Unknown(Unknown::Superseded)
+    }
+}
+
 /// What is known of a unit whose lane broke after it was sent.
 pub(crate) fn lost_on_lane(head: &LaneUnit) -> Outcome {
     if head.continues && !head.commits {
--- a/crates/gullspar_caller/src/session.rs
+++ b/crates/gullspar_caller/src/session.rs
@@ -368,8 +368,12 @@
         let remaining = deadline.saturating_duration_since(clock.now());
         unit.head.remaining_ms = remaining.as_millis() as u64;
         self.registered.set_running(Some(held.lane.canceller()));
-        let result = held.lane.run(&unit, sink).await;
+        let run = held.lane.run(&unit, sink);
+        let result = self.server.router.unless_superseded(&unit.head, run).await;
         self.registered.set_running(None);
+        let Some(result) = result else {
+            return Routing { outcome: router::superseded(&unit.head), lane: None, on_primary };
+        };
         match result {
             Ok(outcome) => {
                 let sound = !matches!(outcome, Outcome::Unknown(_));
--- a/crates/gullspar_group/src/group_manager.rs
+++ b/crates/gullspar_group/src/group_manager.rs
@@ -60,6 +60,10 @@
                 self.keep(spec);
             }
         }
+        for watch in self.watches() {
+            // The configuration tells of promotions, which some wait for.
+            watch.wake();
+        }
         self.watches.borrow_mut().retain(|name, watch| {
             let keep = wanted.contains(name);
             watch.ended.set(!keep);
--- a/crates/gullspar_group/src/group_timing.rs
+++ b/crates/gullspar_group/src/group_timing.rs
@@ -26,7 +26,7 @@
     fn default() -> GroupTiming {
         GroupTiming {
             status_wait: Duration::from_millis(100),
-            failed_after: Duration::from_millis(500),
+            failed_after: Duration::from_millis(400),
             refused_after: Duration::from_millis(250),
             claim_abandoned_after: Duration::from_millis(1500),
             claim_step: Duration::from_millis(150),
--- a/crates/gullspar_group/src/group_watch.rs
+++ b/crates/gullspar_group/src/group_watch.rs
@@ -21,6 +21,16 @@
     pub member: MemberName,
 }
 
+/// The fate of a write that took effect on a primary.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Settled {
+    /// A majority holds it, under the term of the point.
+    Acknowledged(LogPoint),
+    /// The group's log does not hold it, and never will.
+    Undone,
+    Unknown(Unknown),
+}
+
 /// The state of a group that this instance holds at least one member of.
 pub struct GroupWatch {
     pub(crate) name: GroupName,
@@ -116,6 +126,11 @@
         self.changed.notify(usize::MAX);
     }
 
+    /// Lets whoever waits look again.
+    pub(crate) fn wake(&self) {
+        self.changed.notify(usize::MAX);
+    }
+
     /// Notes an answer of a member.
     pub(crate) fn heard(&self, member: &MemberName, status: MemberStatus, asked_at: Instant) {
         let now = self.now();
@@ -180,6 +195,14 @@
         in_sight >= self.spec.borrow().majority()
     }
 
+    /// Whether a majority was heard lately, whatever part its members play.
+    pub(crate) fn majority_reachable(&self) -> bool {
+        let now = self.now();
+        let views = self.views.borrow();
+        let heard = views.values().filter(|it| it.heard_at + self.timing.failed_after > now);
+        heard.count() >= self.spec.borrow().majority()
+    }
+
     /// Whether a majority holds the log of `term` up to `position`.
     pub fn is_acknowledged(&self, term: Term, position: LogPosition) -> bool {
         let holding = self
@@ -192,24 +215,32 @@
         holding >= self.spec.borrow().majority()
     }
 
-    /// Waits until a majority holds `point`.
+    /// Waits until the fate of a write at `point` is certain.
     ///
-    /// This is what makes an answer an acknowledgement: whoever promotes later must first fence a
-    /// majority, which shares a member with this one, and takes the longest log it finds there.
-    pub async fn wait_acknowledged(
-        &self,
-        point: LogPoint,
-        deadline: Instant,
-    ) -> Result<(), Unknown> {
-        self.wait_until(deadline, || {
+    /// A majority that holds it makes an answer an acknowledgement: whoever promotes later must first
+    /// fence a majority, which shares a member with this one, and takes the longest log it finds there.
+    /// When the term ends before that, the record of the next promotion tells whether the write is in
+    /// the log that was taken over; if it is, a majority of the new term must hold it.
+    pub async fn settle(&self, point: LogPoint, deadline: Instant) -> Settled {
+        let settled = self.wait_until(deadline, || {
             if self.is_acknowledged(point.term, point.position) {
-                return Some(Ok(()));
+                return Some(Settled::Acknowledged(point));
             }
-            let superseded = self.leader().is_some_and(|it| it.term > point.term);
-            superseded.then_some(Err(Unknown::Superseded))
-        })
-        .await
-        .unwrap_or(Err(Unknown::NotAcknowledged))
+            let group = self.fleet.config.group(&self.name)?;
+            if group.object.term <= point.term {
+                return None;
+            }
+            match group.object.survived(point) {
+                Some(false) => Some(Settled::Undone),
+                None => Some(Settled::Unknown(Unknown::Superseded)),
+                Some(true) => {
+                    let now = LogPoint { term: group.object.term, position: point.position };
+                    self.is_acknowledged(now.term, now.position)
+                        .then_some(Settled::Acknowledged(now))
+                }
+            }
+        });
+        settled.await.unwrap_or(Settled::Unknown(Unknown::NotAcknowledged))
     }
 
     /// Waits until the leadership of `term` is confirmed for an instant not before `since`.
--- a/crates/gullspar_group/src/promotion.rs
+++ b/crates/gullspar_group/src/promotion.rs
@@ -114,6 +114,13 @@
                 (it.version, object)
             }
         };
+        let known = self.watch.fleet.config.group(&self.watch.name).map(|it| it.object.claimed);
+        if object.claimed > known.unwrap_or_default() {
+            // Somebody claimed while this instance made up its mind. Claiming on top of that would
+            // fence what the other is about to promote.
+            self.take(version, &object);
+            return Err(PromotionError::Overtaken);
+        }
         if object.term > base {
             // The group has a newer leader; taking it over brings us up to date.
             self.take(version, &object);
@@ -227,7 +234,7 @@
         let mut object = claim.object;
         object.term = leader.term;
         object.primary = Some(leader.member.clone());
-        object.history.push(TermStart { term: leader.term, after: end.position });
+        object.history.push(TermStart { term: leader.term, after: end });
         let surplus = object.history.len().saturating_sub(GroupObject::HISTORY_LIMIT);
         object.history.drain(..surplus);
         let version = self.put(claim.version, &object).await?;
--- a/crates/gullspar_group/src/suspicion.rs
+++ b/crates/gullspar_group/src/suspicion.rs
@@ -3,10 +3,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use gullspar_border::{PeerReply, PeerRequest, PrimaryView};
 use gullspar_model::{GroupObject, InstanceId, InstanceRecord, MemberRole};
 
-use crate::{GroupWatch, Leader, Promotion};
+use crate::{GroupWatch, Leader, Promotion, TargetControl};
 
 /// How often the state of a group is judged.
 const JUDGE_EVERY: Duration = Duration::from_millis(50);
@@ -154,34 +156,69 @@
         homes.collect()
     }
 
-    /// Whether the homes of a majority of members see the primary as failed.
+    /// Whether the homes of a majority of members see the primary as failed, and it still does not
+    /// answer a fresh call.
     ///
-    /// One instance's broken link must not depose a primary that everybody else reaches.
+    /// One instance's broken link must not depose a primary that everybody else reaches. An instance
+    /// whose data centre was cut off believes all others dead and itself the home of everything;
+    /// without the fresh call it would depose the primary the moment the links are back.
     async fn others_agree(&self, need: Need) -> bool {
         if need != Need::Silent {
             return true;
         }
         let Some(leader) = self.leader() else { return false };
-        let homes = self.member_homes();
-        let own = self.fleet.id();
+        if !self.majority_reachable() {
+            return false;
+        }
         let deadline = self.now() + VIEWS_WITHIN;
-        let mut asked: Vec<&InstanceRecord> = Vec::new();
-        for home in homes.iter().filter(|it| it.id != own) {
-            if !asked.iter().any(|it| it.id == home.id) {
-                asked.push(home);
+        let (answers, agreed) = futures::join!(
+            self.answers_now(&leader, deadline),
+            self.majority_agrees(&leader, deadline)
+        );
+        agreed && !answers && self.need() == Some(Need::Silent)
+    }
+
+    async fn answers_now(&self, leader: &Leader, deadline: Instant) -> bool {
+        let spec = self.spec();
+        let Some(member) = spec.member(&leader.member) else { return false };
+        let borders = self.borders();
+        let clock = Rc::clone(&borders.clock);
+        let opened = TargetControl::open(&*borders.dialer, clock, member.address, deadline).await;
+        let Ok(mut control) = opened else { return false };
+        let asked_at = self.now();
+        match control.status(None, false, 0, deadline).await {
+            Ok(status) => {
+                self.heard(&leader.member, status, asked_at);
+                true
             }
+            Err(_) => false,
         }
-        let calls = asked.iter().map(|home| async {
-            let req = PeerRequest::ViewOfPrimary { group: self.name.clone(), term: leader.term };
-            let reply = self.borders().peers.call(home.peer, req, deadline).await;
-            (matches!(reply, Ok(PeerReply::View(PrimaryView::Failed))), home.id.clone())
-        });
-        let answers = futures::future::join_all(calls).await;
-        let failed = |id: &InstanceId| {
-            *id == own || answers.iter().any(|(failed, home)| *failed && home == id)
-        };
-        let votes = homes.iter().filter(|it| failed(&it.id)).count();
-        votes >= self.spec.borrow().majority()
+    }
+
+    async fn majority_agrees(&self, leader: &Leader, deadline: Instant) -> bool {
+        let homes = self.member_homes();
+        let own = self.fleet.id();
+        let majority = self.spec.borrow().majority();
+        let votes_of = |id: &InstanceId| homes.iter().filter(|it| it.id == *id).count();
+        let mut votes = votes_of(&own);
+        let mut asked: Vec<&InstanceRecord> = homes.iter().filter(|it| it.id != own).collect();
+        asked.sort_by(|one, other| one.id.cmp(&other.id));
+        asked.dedup_by(|one, other| one.id == other.id);
+        let mut calls: FuturesUnordered<_> = asked
+            .into_iter()
+            .map(|home| async move {
+                let req =
+                    PeerRequest::ViewOfPrimary { group: self.name.clone(), term: leader.term };
+                let reply = self.borders().peers.call(home.peer, req, deadline).await;
+                (home, matches!(reply, Ok(PeerReply::View(PrimaryView::Failed))))
+            })
+            .collect();
+        while votes < majority
+            && let Some((home, failed)) = calls.next().await
+        {
+            votes += if failed { votes_of(&home.id) } else { 0 };
+        }
+        votes >= majority
     }
 
     async fn promote(self: &Rc<Self>, need: Need) {
--- a/crates/gullspar_lab/src/lab.rs
+++ b/crates/gullspar_lab/src/lab.rs
@@ -195,7 +195,7 @@
             caller_limit: 20_000,
             gossip_ms: 200,
             status_wait_ms: 100,
-            failed_after_ms: 500,
+            failed_after_ms: 400,
             drain_ms: 10_000,
         })
     }
--- a/crates/gullspar_lab/tests/failover.rs
+++ b/crates/gullspar_lab/tests/failover.rs
@@ -1,5 +1,7 @@
 //! Primaries that fail, in every way that the brief names, under callers that write all the time.
 
+#![allow(clippy::unwrap_used, reason = "a test that can't go on must fail")]
+
 mod support;
 
 use std::time::Duration;
--- a/crates/gullspar_model/src/group_object.rs
+++ b/crates/gullspar_model/src/group_object.rs
@@ -1,14 +1,14 @@
 //! The platform's object for a group: who leads and who may promote.
 
-use crate::{LogPosition, MemberName, Term};
+use crate::{LogPoint, MemberName, Term};
 
 crate::record! {
     /// Where a term's own records begin.
     #[derive(Copy)]
     pub struct TermStart {
         pub term: Term,
-        /// Position of the last record that the term took over.
-        pub after: LogPosition,
+        /// The end of the log that the term took over: the term of its last record, and its position.
+        pub after: LogPoint,
     }
 }
 
@@ -34,6 +34,15 @@
     /// Starts of terms that are kept, so that the object stays small.
     pub const HISTORY_LIMIT: usize = 16;
 
+    /// Whether the record at `point`, written under `point.term`, is part of the present log.
+    ///
+    /// The first later term tells: it took over a log that ends with a record of that very term and
+    /// reaches as far, or the record is gone. `None` if a term in between left no trace here.
+    pub fn survived(&self, point: LogPoint) -> Option<bool> {
+        let next = self.history.iter().find(|it| it.term > point.term)?;
+        (next.after.term <= point.term).then_some(next.after >= point)
+    }
+
     /// A group that nobody has led yet.
     pub fn unclaimed() -> GroupObject {
         GroupObject {
--- a/crates/gullspar_model/src/outcome.rs
+++ b/crates/gullspar_model/src/outcome.rs
@@ -29,6 +29,8 @@
         Leaving,
         /// The connection was lost before the transaction reached its commit.
         ConnectionLost,
+        /// The primary failed before a majority had the write, and the group's log does not hold it.
+        Undone,
         /// The pinned target connection is gone, and with it the transaction.
         TransactionLost,
     }
@@ -65,7 +67,7 @@
         match self {
             NotRun::Overloaded { .. } => "53400",
             NotRun::DeadlinePassed => "57014",
-            NotRun::TransactionLost | NotRun::ConnectionLost => "40001",
+            NotRun::TransactionLost | NotRun::ConnectionLost | NotRun::Undone => "40001",
             NotRun::Leaving => "57P01",
             _ => "57P03",
         }
@@ -84,6 +86,7 @@
             NotRun::Unreachable => "no target could be reached",
             NotRun::Leaving => "the instance is shutting down",
             NotRun::ConnectionLost => "the target was lost before the request could commit",
+            NotRun::Undone => "the primary failed and the write was undone with it",
             NotRun::TransactionLost => "the target was lost and the transaction with it",
         }
     }
@@ -92,7 +95,7 @@
     pub fn retry_after_ms(self) -> u64 {
         match self {
             NotRun::Overloaded { retry_after_ms } => retry_after_ms,
-            NotRun::TransactionLost | NotRun::ConnectionLost => 50,
+            NotRun::TransactionLost | NotRun::ConnectionLost | NotRun::Undone => 50,
             _ => 250,
         }
     }
--- a/crates/gullspar_settings/src/instance_settings.rs
+++ b/crates/gullspar_settings/src/instance_settings.rs
@@ -38,7 +38,7 @@
         /// Milliseconds that a target holds a status call back while nothing changes.
         pub status_wait_ms: u64 = "100",
         /// Milliseconds of silence after which a primary counts as failed.
-        pub failed_after_ms: u64 = "500",
+        pub failed_after_ms: u64 = "400",
         /// Milliseconds that a shutdown waits for requests in flight.
         pub drain_ms: u64 = "10000",
     }
--- a/crates/gullspar_target/src/local_lane.rs
+++ b/crates/gullspar_target/src/local_lane.rs
@@ -9,7 +9,7 @@
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
 use gullspar_border::within;
-use gullspar_group::{GroupWatch, STATUS_NOW, read_status};
+use gullspar_group::{GroupWatch, STATUS_NOW, Settled, read_status};
 use gullspar_model::{Access, LogPoint, MemberStatus, NotRun, Outcome, Term, Unknown};
 use gullspar_wire::{ErrorReport, LaneUnit, WireError, query, status, target};
 
@@ -259,9 +259,10 @@
         }
         let mut point = None;
         if head.acknowledge && exchanged.status == status::IDLE && exchanged.error.is_none() {
-            match acknowledge(&watch, head, &exchanged, term, deadline).await {
-                Ok(acknowledged) => point = Some(acknowledged),
-                Err(reason) => return Outcome::Unknown(reason),
+            match settle(&watch, &exchanged, term, deadline).await {
+                Settled::Acknowledged(acknowledged) => point = Some(acknowledged),
+                Settled::Undone => return Outcome::NotRun(NotRun::Undone),
+                Settled::Unknown(reason) => return Outcome::Unknown(reason),
             }
         }
         let age_ms = if head.on_primary {
@@ -329,27 +330,22 @@
     Some(Outcome::NotRun(reason))
 }
 
-async fn acknowledge(
+/// Waits for the fate of what a unit wrote or read on a primary.
+async fn settle(
     watch: &GroupWatch,
-    head: &LaneUnit,
     exchanged: &Exchanged,
     term: Option<Term>,
     deadline: Instant,
-) -> Result<LogPoint, Unknown> {
+) -> Settled {
     let (Some(after), Some(term)) = (exchanged.after, term) else {
-        return Err(Unknown::Superseded);
+        return Settled::Unknown(Unknown::Superseded);
     };
     if !after.leads(term) {
-        // The member was fenced between the commit and this reading; whoever leads now decides
-        // whether the write is in the log.
-        return Err(Unknown::Superseded);
-    }
-    let point = LogPoint { term, position: after.position };
-    let waited = watch.wait_acknowledged(point, deadline).await;
-    match (waited, head.commits) {
-        (Ok(()), _) => Ok(point),
-        (Err(reason), _) => Err(reason),
+        // The member was fenced between the commit and this reading, which then tells nothing of
+        // where the commit stands in the log.
+        return Settled::Unknown(Unknown::Superseded);
     }
+    watch.settle(LogPoint { term, position: after.position }, deadline).await
 }
 
 async fn apply_settings(
