Keep observing a group while writes at its former home are in flight

Symptom: in a graceful shutdown 8 to 12 writes of the last second ended unknown. Cause: the leaving instance is no longer the home of its targets, so it stopped observing their group at once, and with that nobody was left to acknowledge what was in flight. Ruled out: resets that overtake the last message (mended as well: a connection now ends its own direction first). Change: a group is observed for 6 s after the last of it was handed on. Also: tests of bad input, operators' races and instances that die or leave.

--- a/crates/gullspar_border/src/link.rs
+++ b/crates/gullspar_border/src/link.rs
@@ -17,6 +17,9 @@
     /// The future must not be dropped half way if the link is to be used again.
     fn recv(&mut self, buf: BytesMut) -> LocalBoxFuture<'_, io::Result<BytesMut>>;
 
+    /// Ends our direction; the other side reads the end of the stream after what was sent.
+    fn close_write(&mut self) -> LocalBoxFuture<'_, io::Result<()>>;
+
     /// Whether nothing has arrived, the end of the stream included, at this moment.
     ///
     /// A connection that the other side closed while it lay idle is noticed here, before a write is
--- a/crates/gullspar_caller/src/caller_server.rs
+++ b/crates/gullspar_caller/src/caller_server.rs
@@ -16,6 +16,9 @@
 /// How long a caller may take to start its session.
 const START_WITHIN: Duration = Duration::from_secs(10);
 
+/// How long a caller may take to close its side.
+const FINISH_WITHIN: Duration = Duration::from_millis(500);
+
 /// How callers are served.
 #[derive(Clone)]
 pub struct CallerSettings {
@@ -69,6 +72,9 @@
             Ok(()) | Err(WireError::Closed) => {}
             Err(err) => self.part(&mut channel, &err).await,
         }
+        let clock = &self.fleet.borders().clock;
+        // The connection ends here in any case; a caller that doesn't close its side is cut off.
+        let _ = within(&**clock, clock.now() + FINISH_WITHIN, channel.finish()).await;
         self.connected.set(self.connected.get() - 1);
     }
 
--- a/crates/gullspar_group/src/group_manager.rs
+++ b/crates/gullspar_group/src/group_manager.rs
@@ -64,8 +64,9 @@
             // The configuration tells of promotions, which some wait for.
             watch.wake();
         }
+        let now = self.fleet.borders().clock.now();
         self.watches.borrow_mut().retain(|name, watch| {
-            let keep = wanted.contains(name);
+            let keep = watch.is_kept(wanted.contains(name), now);
             watch.ended.set(!keep);
             keep
         });
--- a/crates/gullspar_group/src/group_watch.rs
+++ b/crates/gullspar_group/src/group_watch.rs
@@ -14,6 +14,10 @@
 
 use crate::{GroupTiming, MemberView, Reading, ReadingHistory};
 
+/// How long a group is observed after this instance handed on what it held of it: longer than requests
+/// in flight last.
+const LINGER: Duration = Duration::from_secs(6);
+
 /// Who leads a group, as far as is known here.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Leader {
@@ -43,6 +47,8 @@
     trust_silence_after: Cell<Instant>,
     /// When the claim last seen on the platform was first seen.
     pub(crate) claim_seen: Cell<(Term, Instant)>,
+    /// When observation ends, for a group of which this instance holds nothing any more.
+    ends_at: Cell<Option<Instant>>,
     changed: Event,
     pub(crate) ended: Cell<bool>,
 }
@@ -64,6 +70,7 @@
             readings: RefCell::default(),
             trust_silence_after: Cell::new(now + timing.failed_after),
             claim_seen: Cell::new((Term(0), now)),
+            ends_at: Cell::new(None),
             changed: Event::new(),
             ended: Cell::new(false),
             fleet,
@@ -126,6 +133,20 @@
         self.changed.notify(usize::MAX);
     }
 
+    /// Whether observation goes on, for a group of which this instance holds something or not.
+    ///
+    /// An instance that hands its targets on, as at a shutdown, still has writes in flight whose
+    /// acknowledgement only observation brings; ended at once, they would all end unknown.
+    pub(crate) fn is_kept(&self, held: bool, now: Instant) -> bool {
+        if held {
+            self.ends_at.set(None);
+            return true;
+        }
+        let ends_at = self.ends_at.get().unwrap_or(now + LINGER);
+        self.ends_at.set(Some(ends_at));
+        now < ends_at
+    }
+
     /// Lets whoever waits look again.
     pub(crate) fn wake(&self) {
         self.changed.notify(usize::MAX);
--- a/crates/gullspar_lab/src/borders.rs
+++ b/crates/gullspar_lab/src/borders.rs
@@ -128,6 +128,10 @@
         .boxed_local()
     }
 
+    fn close_write(&mut self) -> LocalBoxFuture<'_, io::Result<()>> {
+        self.inner.close_write()
+    }
+
     fn is_quiet(&self) -> bool {
         self.inner.is_quiet()
     }
--- a/crates/gullspar_lab/src/lab.rs
+++ b/crates/gullspar_lab/src/lab.rs
@@ -156,15 +156,27 @@
 
     /// Starts one more instance.
     pub fn add_instance(&mut self, instance: &LabInstanceSettings) -> Result<(), LabError> {
-        let settings = self.instance_settings(instance)?;
-        let network = Arc::clone(&self.network);
-        let started = LabInstance::start(settings, self.timing, network);
+        let started = self.start_instance(instance)?;
         self.addresses.instances.push(started.addresses.clone());
         self.instances.push(started);
         self.list_instances();
         Ok(())
     }
 
+    /// Starts an instance on addresses that are free; another process may take one between the look
+    /// and the use, so a few are tried.
+    fn start_instance(&self, instance: &LabInstanceSettings) -> Result<LabInstance, LabError> {
+        const TRIES: u32 = 8;
+        for _ in 0..TRIES {
+            let settings = self.instance_settings(instance)?;
+            let network = Arc::clone(&self.network);
+            if let Some(started) = LabInstance::start(settings, self.timing, network) {
+                return Ok(started);
+            }
+        }
+        Err(LabError::Io(io::Error::other(format!("instance {} could not start", instance.id))))
+    }
+
     /// Brings the platform's list of instances up to date.
     pub fn list_instances(&self) {
         let running = self.instances.iter().filter(|it| it.is_running());
--- a/crates/gullspar_lab/src/lab_instance.rs
+++ b/crates/gullspar_lab/src/lab_instance.rs
@@ -46,12 +46,12 @@
 }
 
 impl LabInstance {
-    /// Starts an instance and waits until it listens.
+    /// Starts an instance and waits until it listens; `None` if it could not start.
     pub(crate) fn start(
         settings: InstanceSettings,
         timing: InstanceTiming,
         network: Arc<Network>,
-    ) -> LabInstance {
+    ) -> Option<LabInstance> {
         let addresses = InstanceAddresses {
             id: settings.id.clone(),
             data_centre: settings.data_centre.clone(),
@@ -62,8 +62,8 @@
         };
         network.place(addresses.peer, &addresses.data_centre);
         network.place(addresses.lane, &addresses.data_centre);
-        let (tx, thread) = spawn(settings.clone(), timing, Arc::clone(&network));
-        LabInstance { addresses, settings, timing, network, tx, thread: Some(thread) }
+        let (tx, thread) = spawn(settings.clone(), timing, Arc::clone(&network))?;
+        Some(LabInstance { addresses, settings, timing, network, tx, thread: Some(thread) })
     }
 
     /// Ends the instance at once and cuts all its connections.
@@ -91,9 +91,11 @@
     /// Starts the instance again on the same addresses.
     pub fn restart(&mut self) {
         self.kill();
-        let (tx, thread) = spawn(self.settings.clone(), self.timing, Arc::clone(&self.network));
-        self.tx = tx;
-        self.thread = Some(thread);
+        let spawned = spawn(self.settings.clone(), self.timing, Arc::clone(&self.network));
+        if let Some((tx, thread)) = spawned {
+            self.tx = tx;
+            self.thread = Some(thread);
+        }
     }
 
     /// Whether the instance runs.
@@ -120,7 +122,7 @@
     settings: InstanceSettings,
     timing: InstanceTiming,
     network: Arc<Network>,
-) -> (mpsc::UnboundedSender<Command>, JoinHandle<()>) {
+) -> Option<(mpsc::UnboundedSender<Command>, JoinHandle<()>)> {
     let (tx, rx) = mpsc::unbounded();
     let (ready_tx, ready_rx) = std::sync::mpsc::channel();
     let thread = std::thread::spawn(move || {
@@ -135,8 +137,8 @@
         runtime.block_on(run(settings, timing, network, rx, ready_tx));
     });
     // A closed channel means that the instance failed to start; its log tells why.
-    let _ = ready_rx.recv();
-    (tx, thread)
+    ready_rx.recv().ok()?;
+    Some((tx, thread))
 }
 
 async fn run(
--- /dev/null
+++ b/crates/gullspar_lab/tests/bad_input.rs
@@ -0,0 +1,127 @@
+//! Malformed, oversized and forged input: a clear error, that connection refused, nothing else
+//! disturbed.
+
+#![allow(clippy::unwrap_used, reason = "a test that can't go on must fail")]
+
+mod support;
+
+use gullspar_lab::{Client, Verdict};
+use gullspar_wire::WireError;
+use support::{LabUnderTest, run};
+use test_case::test_case;
+
+/// Runs a statement beside the misbehaving caller, which must not be disturbed.
+async fn assert_undisturbed(lab: &LabUnderTest) {
+    let mut bystander = lab.connect(0, "strict").await;
+    let answer = bystander.query("SELECT id FROM doors").await.unwrap();
+    assert_eq!((answer.verdict(), answer.rows.len()), (Verdict::Done, 3));
+}
+
+#[test_case(&[b'Q', 0, 0, 0, 1]; "a length under four")]
+#[test_case(&[b'Q', 0x7f, 0xff, 0xff, 0xff]; "a length over the limit")]
+#[test_case(&[b'Q', 0, 0, 0, 6, 0xff, 0xfe]; "a text that is not UTF-8 and has no end")]
+#[test_case(&[b'~', 0, 0, 0, 4]; "an unknown message")]
+#[test_case(&[b'F', 0, 0, 0, 4]; "a function call")]
+#[test_case(&[b'D', 0, 0, 0, 4]; "an empty describe")]
+#[test_case(&[b'B', 0, 0, 0, 5, b'x']; "a bind without its end")]
+fn a_malformed_message_ends_its_own_connection_with_a_protocol_error(bytes: &[u8]) {
+    let lab = LabUnderTest::small();
+    run(async {
+        let mut client = lab.connect(0, "strict").await;
+        client.send_raw(bytes).await.unwrap();
+        let answer = client.read_answer().await.unwrap();
+        let report = answer.error.unwrap();
+        assert_eq!((report.severity.as_str(), report.code.as_str()), ("FATAL", "08P01"));
+        assert!(client.query("SELECT 1").await.is_err());
+        assert_undisturbed(&lab).await;
+    });
+}
+
+#[test_case("strict", "wrong", "tours", "28P01"; "a wrong password")]
+#[test_case("nobody", "nobody", "tours", "28P01"; "an unknown caller")]
+#[test_case("strict", "strict", "nowhere", "3D000"; "an unknown service")]
+fn a_session_is_refused_with_its_own_code(user: &str, password: &str, service: &str, code: &str) {
+    let lab = LabUnderTest::small();
+    run(async {
+        lab.connect(0, "strict").await;
+        let address = lab.caller_address(0);
+        let refused = Client::connect_with(address, user, password, service, None).await;
+        match refused.map(|_| ()) {
+            Err(WireError::Server(report)) => assert_eq!(report.code, code),
+            other => panic!("not refused: {other:?}"),
+        }
+        assert_undisturbed(&lab).await;
+    });
+}
+
+/// Symptom: a caller's reads wait for a position that was never reached, or it learns how much
+/// another one writes.
+/// Events: a token is forged, altered, or taken from another caller.
+/// Cause to guard against: trusting a token that is not bound to its caller.
+#[test]
+fn forged_and_borrowed_tokens_are_refused() {
+    let lab = LabUnderTest::small();
+    run(async {
+        let mut owner = lab.connect(0, "strict").await;
+        owner.query("INSERT INTO ledger VALUES ('x')").await.unwrap();
+        let token = owner.token.clone().unwrap();
+        let mut borrower = lab.connect(1, "tolerant").await;
+        let altered = token.replacen(":1:", ":9:", 1);
+        for text in [token.as_str(), altered.as_str(), "rubbish", "core:1:x:y", ""] {
+            let answer = borrower.query(&format!("SET gullspar.token = '{text}'")).await.unwrap();
+            assert_eq!(answer.error.unwrap().code, "22023", "{text}");
+        }
+        let kept = owner.query(&format!("SET gullspar.token = '{token}'")).await.unwrap();
+        assert_eq!(kept.error, None);
+    });
+}
+
+#[test_case("COPY ledger TO STDOUT", "0A000"; "copy")]
+#[test_case("LISTEN news", "0A000"; "listen")]
+#[test_case("SET gullspar.nonsense = 1", "42704"; "an unknown setting")]
+#[test_case("SET gullspar.deadline_ms = soon", "22023"; "a setting that is no number")]
+#[test_case("SET gullspar.instance = 'x'", "55P02"; "a setting that can't be set")]
+#[test_case("SELECT * FROM nowhere", "42P01"; "the target's own error")]
+fn a_statement_is_refused_and_the_session_goes_on(sql: &str, code: &str) {
+    let lab = LabUnderTest::small();
+    run(async {
+        let mut client = lab.connect(0, "strict").await;
+        let answer = client.query(sql).await.unwrap();
+        assert_eq!(answer.error.unwrap().code, code);
+        let next = client.query("SELECT id FROM doors").await.unwrap();
+        assert_eq!(next.verdict(), Verdict::Done);
+    });
+}
+
+/// Symptom: callers find no place although few are there.
+/// Events: connections are opened and say nothing, or stop in the middle of the start-up.
+#[test]
+fn half_open_connections_disturb_nobody() {
+    let lab = LabUnderTest::small();
+    let address = lab.caller_address(0);
+    let silent: Vec<_> = (0..50).map(|_| std::net::TcpStream::connect(address).unwrap()).collect();
+    run(assert_undisturbed(&lab));
+    drop(silent);
+}
+
+/// Symptom: a caller that overlooked an error runs the rest of its transaction as single statements.
+/// Events: the primary stops in the middle of a transaction; the caller goes on writing.
+#[test]
+fn a_lost_transaction_refuses_everything_until_it_is_ended() {
+    let lab = LabUnderTest::small();
+    run(async {
+        let mut client = lab.connect(0, "strict").await;
+        client.query("BEGIN").await.unwrap();
+        client.query("INSERT INTO ledger VALUES ('x')").await.unwrap();
+        let target = lab.primary();
+        let fault = gullspar_lab::TargetFault::Stopped;
+        lab.lab.faults.apply(gullspar_lab::FaultChange::Target { target, fault });
+        let lost = client.query("INSERT INTO ledger VALUES ('y')").await.unwrap();
+        assert_eq!((lost.verdict(), lost.status), (Verdict::NotRun, b'E'));
+        let next = client.query("INSERT INTO ledger VALUES ('z')").await.unwrap();
+        assert_eq!((next.error.unwrap().code.as_str(), next.status), ("25P02", b'E'));
+        let ended = client.query("COMMIT").await.unwrap();
+        assert_eq!((ended.tags, ended.status), (vec!["ROLLBACK".to_owned()], b'I'));
+        assert!(lab.ledger().await.is_empty());
+    });
+}
--- a/crates/gullspar_net/src/tcp_link.rs
+++ b/crates/gullspar_net/src/tcp_link.rs
@@ -4,7 +4,7 @@
 
 use bytes::BytesMut;
 use compio::BufResult;
-use compio::io::{AsyncReadExt, AsyncWriteExt};
+use compio::io::{AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use compio::net::TcpStream;
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
@@ -45,6 +45,10 @@
         .boxed_local()
     }
 
+    fn close_write(&mut self) -> LocalBoxFuture<'_, io::Result<()>> {
+        async move { self.stream.shutdown().await }.boxed_local()
+    }
+
     fn is_quiet(&self) -> bool {
         let mut byte = [std::mem::MaybeUninit::uninit()];
         let peeked = socket2::SockRef::from(&self.stream).peek(&mut byte);
--- a/crates/gullspar_wire/src/channel.rs
+++ b/crates/gullspar_wire/src/channel.rs
@@ -134,6 +134,20 @@
         }
     }
 
+    /// Ends the connection so that the other side reads everything that was sent to it.
+    ///
+    /// Closed while something it sent lies unread here, the connection would be reset, and the reset
+    /// overtakes the last message: a caller that was told "not run" would see a broken connection and
+    /// not know. So our direction ends first, and what still comes is read and dropped.
+    pub async fn finish(&mut self) -> Result<(), WireError> {
+        self.flush().await?;
+        self.link.close_write().await?;
+        loop {
+            self.incoming.clear();
+            self.fill(Channel::IDLE_BUFFER).await?;
+        }
+    }
+
     /// Gives back the memory that a busy connection gathered.
     pub fn release_memory(&mut self) {
         if self.outgoing.is_empty() {
