--- /dev/null
+++ b/crates/gullspar_bench/benches/acknowledgement.rs
@@ -0,0 +1,59 @@
+//! What waiting for a majority costs a write, against the primary's word alone.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use gullspar_bench::{Bounds, ClosedLoop, Deployment, LoopResult};
+
+fn main() -> ExitCode {
+    let mut bounds = Bounds::default();
+    println!("lag ms  direct p50 ms  gullspar p50 ms  p99 ms  writes/s of 8 callers");
+    for lag_ms in [1, 10, 100] {
+        let mut settings = Deployment::KAHURANGI.settings();
+        settings.lag_ms = lag_ms;
+        let lab = Deployment::start(settings);
+        let service = &lab.services()[0];
+        let group = service.group.as_str();
+        let primary = lab.primary(group);
+        let target = lab.targets(group).find(|it| Some(&it.member) == primary.as_ref());
+        let Some(target) = target else { return ExitCode::FAILURE };
+        let near = lab
+            .instances
+            .iter()
+            .filter(|it| it.addresses.data_centre == target.data_centre)
+            .map(|it| it.addresses.caller)
+            .collect();
+        let direct = measure(vec![target.address], true, service.service.as_str());
+        let proxied = measure(near, false, service.service.as_str());
+        println!(
+            "{lag_ms:>6} {:>14.2} {:>16.2} {:>7.2} {:>22.0}",
+            direct.done.at(0.5),
+            proxied.done.at(0.5),
+            proxied.done.at(0.99),
+            proxied.rate()
+        );
+        // One replica's lag, one way there for the log and back for the news, and the primary's word.
+        let floor = lag_ms as f64 + 1.0 + direct.done.at(0.5);
+        bounds.at_most(
+            &format!("lag {lag_ms} ms: p50 against the least that the rule allows"),
+            proxied.done.at(0.5) / floor,
+            2.0,
+        );
+    }
+    bounds.finish()
+}
+
+fn measure(addresses: Vec<std::net::SocketAddr>, bare: bool, service: &str) -> LoopResult {
+    ClosedLoop {
+        addresses,
+        user: "technician".to_owned(),
+        service: service.to_owned(),
+        sql: "INSERT INTO ledger VALUES ('x')".to_owned(),
+        connections: 8,
+        warm_up: Duration::from_secs(1),
+        measure: Duration::from_secs(3),
+        pause: Duration::ZERO,
+        bare,
+    }
+    .run()
+}
--- /dev/null
+++ b/crates/gullspar_bench/benches/overload.rs
@@ -0,0 +1,138 @@
+//! Useful work under overload, uneven load, a noisy neighbour, and after a third of the instances died.
+
+use std::process::ExitCode;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use gullspar_bench::{Bounds, ClosedLoop, Deployment, LoopResult, RunningLoop};
+use gullspar_lab::{Lab, LabSettings};
+
+const MEASURE: Duration = Duration::from_secs(4);
+
+/// A statement holds a slot for so long, so that a target's capacity is known: slots over this time.
+const STATEMENT_US: u64 = 5_000;
+
+fn main() -> ExitCode {
+    let mut bounds = Bounds::default();
+    overload(&mut bounds);
+    uneven(&mut bounds);
+    noisy_neighbour(&mut bounds);
+    a_third_killed(&mut bounds);
+    bounds.finish()
+}
+
+fn settings() -> LabSettings {
+    let mut settings = Deployment::MIDSHIRE.settings();
+    settings.statement_us = STATEMENT_US;
+    settings
+}
+
+fn addresses(lab: &Lab) -> Vec<std::net::SocketAddr> {
+    lab.instances.iter().map(|it| it.addresses.caller).collect()
+}
+
+fn readers(lab: &Lab, service: &str, user: &str, connections: usize) -> ClosedLoop {
+    ClosedLoop {
+        addresses: addresses(lab),
+        user: user.to_owned(),
+        service: service.to_owned(),
+        sql: "SELECT * FROM slots".to_owned(),
+        connections,
+        warm_up: Duration::from_millis(1500),
+        measure: MEASURE,
+        pause: Duration::ZERO,
+        bare: false,
+    }
+}
+
+/// Useful work: answers within the class's deadline.
+fn useful(result: &LoopResult) -> f64 {
+    result.rate()
+}
+
+fn overload(bounds: &mut Bounds) {
+    println!(
+        "load  callers  visitors/s  coordinators/s  coordinators p99 ms  refused/s  refusal p99 ms"
+    );
+    // Two replicas serve the visitors: ten slots, each 200 statements a second.
+    let mut peak = 0.0_f64;
+    for times in [1, 2, 5] {
+        let lab = Deployment::start(settings());
+        let callers = 40 * times;
+        let strict = readers(&lab, "listings", "coordinator", 4).start();
+        let result = readers(&lab, "listings", "visitor", callers).run();
+        let strict = strict.finish();
+        let work = useful(&result) + useful(&strict);
+        peak = peak.max(work);
+        println!(
+            "{times:>4} {callers:>8} {:>11.0} {:>15.0} {:>20.1} {:>10.0} {:>15.1}",
+            useful(&result),
+            useful(&strict),
+            strict.done.at(0.99),
+            result.refused.len() as f64 / result.seconds,
+            result.refused.at(0.99)
+        );
+        if times == 5 {
+            bounds.at_least("work at five times the capacity against the peak", work / peak, 0.9);
+            bounds.at_most(
+                "coordinators' p99 in deadlines of 2 s",
+                strict.done.at(0.99) / 2000.0,
+                1.0,
+            );
+            bounds.at_most(
+                "refusals' p99 in deadlines of 1.5 s",
+                result.refused.at(0.99) / 1500.0,
+                0.1,
+            );
+        }
+    }
+}
+
+fn uneven(bounds: &mut Bounds) {
+    let lab = Deployment::start(settings());
+    let even = readers(&lab, "listings", "visitor", 60).run();
+    let mut one = readers(&lab, "listings", "visitor", 60);
+    one.addresses.truncate(1);
+    let one = one.run();
+    println!("evenly spread {:.0}/s, all at one instance {:.0}/s", even.rate(), one.rate());
+    bounds.at_least("all at one of nine against evenly spread", one.rate() / even.rate(), 0.9);
+}
+
+fn noisy_neighbour(bounds: &mut Bounds) {
+    let lab = Deployment::start(settings());
+    let alone = readers(&lab, "bookings", "visitor", 8).run();
+    let noise: Vec<RunningLoop> = vec![readers(&lab, "listings", "visitor", 200).start()];
+    let beside = readers(&lab, "bookings", "visitor", 8).run();
+    for noisy in noise {
+        noisy.finish();
+    }
+    println!(
+        "quiet service p99: alone {:.1} ms, beside a noisy one {:.1} ms",
+        alone.done.at(0.99),
+        beside.done.at(0.99)
+    );
+    bounds.at_most(
+        "a quiet service's p99 beside a noisy one against alone",
+        beside.done.at(0.99) / alone.done.at(0.99),
+        1.5,
+    );
+}
+
+fn a_third_killed(bounds: &mut Bounds) {
+    let mut lab = Deployment::start(settings());
+    let before = readers(&lab, "listings", "visitor", 60).run();
+    for instance in lab.instances.iter_mut().skip(6) {
+        instance.kill();
+    }
+    // Callers of dead instances connect to others; the addresses are those of the living.
+    let mut after = readers(&lab, "listings", "visitor", 60);
+    after.addresses.truncate(6);
+    after.warm_up = Duration::from_secs(2);
+    let after = after.run();
+    println!("before {:.0}/s, from 2 s after a third died {:.0}/s", before.rate(), after.rate());
+    bounds.at_least("throughput 2 s after a third died", after.rate() / before.rate(), 0.95);
+    for (target, counts) in &lab.counts {
+        let peak = counts.peak_connections.load(Ordering::Relaxed);
+        bounds.at_most(&format!("{target}: connections"), f64::from(peak), 30.0);
+    }
+}
--- /dev/null
+++ b/crates/gullspar_bench/benches/path.rs
@@ -0,0 +1,107 @@
+//! A statement through one instance against a bare relay and a direct connection.
+//!
+//! The target is trivial, because the stand-in group would be the limit.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use gullspar_bench::{
+    Bounds, ClosedLoop, Deployment, LoopResult, Relay, TrivialTarget, processor_time,
+};
+use gullspar_lab::{Lab, LabSettings};
+use serde_json::json;
+
+const MEASURE: Duration = Duration::from_secs(3);
+
+fn main() -> ExitCode {
+    let mut bounds = Bounds::default();
+    let Ok(target) = TrivialTarget::start(false) else { return ExitCode::FAILURE };
+    let Ok(relay) = Relay::start(target.address) else { return ExitCode::FAILURE };
+    let lab = lab_before_trivial_targets();
+    let instance = lab.instances[0].addresses.caller;
+    println!("connections  way       statements/s  p50 ms  p99 ms  processor µs each");
+    for connections in [1, 64, 1000] {
+        let direct = measure("direct", connections, target.address, true, "none");
+        let relayed = measure("relay", connections, relay.address, true, "relay");
+        let proxied = measure("gullspar", connections, instance, false, "gullspar-");
+        let what = format!("{connections} connections");
+        bounds.at_most(
+            &format!("{what}: p50 against the relay's"),
+            proxied.done.at(0.5) / relayed.done.at(0.5),
+            1.5,
+        );
+        bounds.at_least(
+            &format!("{what}: throughput against the relay's"),
+            proxied.rate() / relayed.rate(),
+            0.6,
+        );
+        drop(direct);
+    }
+    bounds.finish()
+}
+
+fn measure(
+    way: &str,
+    connections: usize,
+    address: std::net::SocketAddr,
+    bare: bool,
+    thread: &str,
+) -> LoopResult {
+    let warm_up = Duration::from_millis(1500);
+    let running = ClosedLoop {
+        addresses: vec![address],
+        user: "any".to_owned(),
+        service: "tours".to_owned(),
+        sql: "SELECT n FROM numbers WHERE n = 1".to_owned(),
+        connections,
+        warm_up,
+        measure: MEASURE,
+        pause: Duration::ZERO,
+        bare,
+    }
+    .start();
+    std::thread::sleep(warm_up);
+    let before = processor_time(thread);
+    std::thread::sleep(MEASURE);
+    let used = processor_time(thread) - before;
+    let result = running.finish();
+    println!(
+        "{connections:>11}  {way:<8} {:>13.0} {:>7.3} {:>7.3} {:>18.1}",
+        result.rate(),
+        result.done.at(0.5),
+        result.done.at(0.99),
+        used.as_secs_f64() * 1e6 / result.done.len().max(1) as f64
+    );
+    result
+}
+
+/// One instance before a primary and two replicas that do next to nothing.
+fn lab_before_trivial_targets() -> Lab {
+    let text = include_str!("../../gullspar_lab/resources/small.jsonc");
+    #[allow(clippy::expect_used)]
+    let mut settings = LabSettings::parse("small", text).expect("a sound lab file");
+    settings.instances.truncate(1);
+    let service = &mut settings.services[0];
+    service.slots = 64;
+    service.connections = 106;
+    let lab = Deployment::start(settings);
+    let key = "gullspar/services/tours";
+    #[allow(clippy::expect_used)]
+    let mut object = lab.store.get(key).expect("the lab seeds its service");
+    for (index, member) in
+        object.value["group"]["members"].as_array_mut().into_iter().flatten().enumerate()
+    {
+        #[allow(clippy::expect_used)]
+        let target = TrivialTarget::start(index == 0).expect("loopback addresses are free");
+        member["address"] = json!(target.address.to_string());
+        member["data_centre"] = json!("a");
+        member["name"] = json!(format!("t{index}"));
+    }
+    object.value["group"]["name"] = json!("trivial");
+    let led = json!({"claimed": 1, "claim": "bench", "term": 1, "primary": "t0", "history": []});
+    // Both are the only writers of their objects.
+    let _ = lab.store.put("gullspar/groups/trivial", 0, led);
+    let _ = lab.store.put(key, object.version, object.value);
+    std::thread::sleep(Duration::from_secs(1));
+    lab
+}
--- a/crates/gullspar_bench/src/process_cost.rs
+++ b/crates/gullspar_bench/src/process_cost.rs
@@ -1,30 +1,25 @@
-//! What this process has used.
+//! What this process and its threads have used.
 
 use std::time::Duration;
 
-/// Processor time and memory.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct ThreadCost {
-    pub processor: Duration,
-    /// Resident memory in bytes.
-    pub memory: u64,
+/// Processor time of all threads whose name begins with `name`.
+pub fn processor_time(name: &str) -> Duration {
+    let Ok(tasks) = std::fs::read_dir("/proc/self/task") else { return Duration::ZERO };
+    let paths = tasks.flatten().map(|it| it.path());
+    let named = paths
+        .filter(|it| std::fs::read_to_string(it.join("comm")).is_ok_and(|it| it.starts_with(name)));
+    let nanos = named.filter_map(|it| {
+        let text = std::fs::read_to_string(it.join("schedstat")).ok()?;
+        text.split_whitespace().next()?.parse::<u64>().ok()
+    });
+    Duration::from_nanos(nanos.sum())
 }
 
-/// Ticks of processor time in a second, as Linux counts them for programs.
-const TICKS: u64 = 100;
-
-/// What the whole process has used so far.
-pub fn thread_cost() -> ThreadCost {
-    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
-    let after_name = stat.rsplit_once(')').map_or("", |(_, rest)| rest);
-    let field = |index: usize| -> u64 {
-        after_name.split_whitespace().nth(index).and_then(|it| it.parse().ok()).unwrap_or(0)
-    };
-    // Counted from the field after the name: user and system time are the 12th and 13th.
-    let ticks = field(11) + field(12);
+/// Resident memory of the process in bytes.
+pub fn resident_memory() -> u64 {
     let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
     let resident = status.lines().find(|it| it.starts_with("VmRSS:")).unwrap_or("");
     let kilobytes: u64 =
         resident.split_whitespace().nth(1).and_then(|it| it.parse().ok()).unwrap_or(0);
-    ThreadCost { processor: Duration::from_millis(ticks * 1000 / TICKS), memory: kilobytes * 1024 }
+    kilobytes * 1024
 }
--- a/crates/gullspar_lab/src/borders.rs
+++ b/crates/gullspar_lab/src/borders.rs
@@ -90,9 +90,6 @@
             let delay = side.network.round_trip(&side.own, &other);
             clock.sleep_until(clock.now() + delay).await;
             let link = inner.dial(address, deadline).await?;
-            if other == side.own {
-                return Ok(link);
-            }
             let link: Box<dyn Link> = Box::new(LabLink { inner: link, clock, side, other, delay });
             Ok(link)
         }
@@ -100,7 +97,8 @@
     }
 }
 
-/// A link to another data centre. The whole round trip is waited for when sending.
+/// A link whose traffic is counted. Between data centres the whole round trip is waited for when
+/// sending.
 struct LabLink {
     inner: Box<dyn Link>,
     clock: Rc<dyn Clock>,
@@ -112,8 +110,11 @@
 impl Link for LabLink {
     fn send(&mut self, buf: BytesMut) -> LocalBoxFuture<'_, io::Result<BytesMut>> {
         async move {
-            self.clock.sleep_until(self.clock.now() + self.delay).await;
-            self.side.wait_joined(&self.other).await;
+            self.side.network.links.add(buf.len());
+            if !self.delay.is_zero() {
+                self.clock.sleep_until(self.clock.now() + self.delay).await;
+                self.side.wait_joined(&self.other).await;
+            }
             self.inner.send(buf).await
         }
         .boxed_local()
@@ -121,8 +122,14 @@
 
     fn recv(&mut self, buf: BytesMut) -> LocalBoxFuture<'_, io::Result<BytesMut>> {
         async move {
+            let before = buf.len();
             let result = self.inner.recv(buf).await;
-            self.side.wait_joined(&self.other).await;
+            if let Ok(buf) = &result {
+                self.side.network.links.add(buf.len() - before);
+            }
+            if !self.delay.is_zero() {
+                self.side.wait_joined(&self.other).await;
+            }
             result
         }
         .boxed_local()
@@ -137,6 +144,13 @@
     }
 }
 
+/// Bytes of a call or its answer, with what tarpc and the frame add.
+fn wire_size(message: &impl serde::Serialize) -> usize {
+    /// Measured on tarpc 0.38 with postcard: frame length, request id, deadline and trace context.
+    const ENVELOPE: usize = 48;
+    postcard::to_allocvec(message).map_or(0, |it| it.len()) + ENVELOPE
+}
+
 struct LabPeers {
     inner: Rc<dyn Peers>,
     clock: Rc<dyn Clock>,
@@ -160,7 +174,11 @@
             }
             let delay = side.network.round_trip(&side.own, &other);
             clock.sleep_until(clock.now() + delay).await;
+            side.network.peers.add(wire_size(&req));
             let result = inner.call(to, req, deadline).await;
+            if let Ok(reply) = &result {
+                side.network.peers.add(wire_size(reply));
+            }
             if side.is_cut(&other) {
                 return Err(PeerError::NoAnswer("the link is cut".to_owned()));
             }
--- a/crates/gullspar_lab/src/client.rs
+++ b/crates/gullspar_lab/src/client.rs
@@ -53,10 +53,7 @@
         service: &str,
         token: Option<&str>,
     ) -> Result<Client, WireError> {
-        let stream = TcpStream::connect(address).await?;
-        let channel = Channel::new(Box::new(TcpLink::new(stream)), Channel::DEFAULT_LIMIT);
-        let mut client =
-            Client { channel, token: None, cancel_key: (0, 0), parameters: BTreeMap::new() };
+        let mut client = Client::dial(address).await?;
         let mut parameters = vec![("user", user), ("database", service)];
         parameters.extend(token.map(|it| ("gullspar.token", it)));
         client.channel.queue(&startup(&parameters));
@@ -68,6 +65,22 @@
         })
     }
 
+    /// Connects to a target itself, which asks for no password.
+    pub async fn connect_bare(address: SocketAddr) -> Result<Client, WireError> {
+        let mut client = Client::dial(address).await?;
+        client.channel.queue(&startup(&[("user", "bench"), ("database", "postgres")]));
+        client.channel.flush().await?;
+        client.read_answer().await?;
+        Ok(client)
+    }
+
+    async fn dial(address: SocketAddr) -> Result<Client, WireError> {
+        let stream = TcpStream::connect(address).await?;
+        let channel = Channel::new(Box::new(TcpLink::new(stream)), Channel::DEFAULT_LIMIT);
+        let (token, cancel_key, parameters) = (None, (0, 0), BTreeMap::new());
+        Ok(Client { channel, token, cancel_key, parameters })
+    }
+
     async fn authenticate(&mut self, password: &str) -> Result<(), WireError> {
         self.expect_authentication().await?;
         let (scram, first) = ScramClient::new("", password, None).client_first();
--- a/crates/gullspar_lab/src/lab_instance.rs
+++ b/crates/gullspar_lab/src/lab_instance.rs
@@ -125,7 +125,8 @@
 ) -> Option<(mpsc::UnboundedSender<Command>, JoinHandle<()>)> {
     let (tx, rx) = mpsc::unbounded();
     let (ready_tx, ready_rx) = std::sync::mpsc::channel();
-    let thread = std::thread::spawn(move || {
+    let name = format!("gullspar-{}", settings.id);
+    let spawned = std::thread::Builder::new().name(name).spawn(move || {
         let _timers = gullspar_net::enter_timer_context();
         let runtime = match compio::runtime::Runtime::new() {
             Ok(runtime) => runtime,
@@ -136,6 +137,7 @@
         };
         runtime.block_on(run(settings, timing, network, rx, ready_tx));
     });
+    let thread = spawned.ok()?;
     // A closed channel means that the instance failed to start; its log tells why.
     ready_rx.recv().ok()?;
     Some((tx, thread))
--- a/crates/gullspar_lab/src/lib.rs
+++ b/crates/gullspar_lab/src/lib.rs
@@ -26,5 +26,5 @@
 pub use lab_settings::{
     LabCaller, LabInstanceSettings, LabMember, LabService, LabSettings, verifier,
 };
-pub use network::Network;
+pub use network::{Network, Traffic};
 pub use workload::{Workload, WorkloadSettings};
