Report burn, balance reads by requests in flight, observe no longer than needed

Besides, all reads of a moment went to the replica that was best a moment before. Change: a group is observed while requests in flight need it, not for a fixed time; an instance acts as a home only after it heard of others or looked for them for 1.2 s; replicas are compared by latency times requests in flight. Also: gullsparctl report burn as text, JSON and HTML.

--- a/crates/gullspar_bench/benches/overload.rs
+++ b/crates/gullspar_bench/benches/overload.rs
@@ -14,7 +14,9 @@
 
 fn main() -> ExitCode {
     let mut bounds = Bounds::default();
-    overload(&mut bounds);
+    if std::env::var("ONLY").is_err() {
+        overload(&mut bounds);
+    }
     uneven(&mut bounds);
     noisy_neighbour(&mut bounds);
     a_third_killed(&mut bounds);
@@ -95,6 +97,13 @@
     one.addresses.truncate(1);
     let one = one.run();
     println!("evenly spread {:.0}/s, all at one instance {:.0}/s", even.rate(), one.rate());
+    if let Some(status) = gullspar_bench::status(&lab) {
+        let counts = gullspar_bench::counts_of(&status, "visitor");
+        println!(
+            "reads on replicas {}, on primaries {}",
+            counts.replica_reads, counts.primary_reads
+        );
+    }
     bounds.at_least("all at one of nine against evenly spread", one.rate() / even.rate(), 0.9);
 }
 
--- a/crates/gullspar_border/src/peers.rs
+++ b/crates/gullspar_border/src/peers.rs
@@ -10,7 +10,7 @@
 };
 use quick_error::quick_error;
 
-use crate::ObjectVersion;
+use crate::{BurnSeries, ObjectVersion};
 
 record! {
     /// A configuration object on its way between instances.
@@ -106,6 +106,8 @@
         CancelCaller { process: i32, secret: i32 },
         /// Asks for a report for operators.
         Report,
+        /// Asks for requests by minute.
+        Burn,
     }
 }
 
@@ -117,6 +119,7 @@
         Entries(Vec<ConfigEntry>),
         View(PrimaryView),
         Report(Box<InstanceReport>),
+        Burn(Vec<BurnSeries>),
         Accepted,
     }
 }
--- a/crates/gullspar_caller/src/lib.rs
+++ b/crates/gullspar_caller/src/lib.rs
@@ -6,6 +6,7 @@
 mod classifier;
 mod lane_pool;
 mod local_command;
+mod minute_ring;
 mod request;
 mod request_reader;
 mod retry_budget;
--- a/crates/gullspar_caller/src/router.rs
+++ b/crates/gullspar_caller/src/router.rs
@@ -8,9 +8,9 @@
 use futures::future::{self, Either};
 use gullspar_border::{jittered, within};
 use gullspar_fleet::Fleet;
-use gullspar_group::GroupWatch;
 use gullspar_model::{
-    Access, DataCentre, GroupSpec, InstanceRecord, MemberName, MemberSpec, NotRun, Outcome, Unknown,
+    Access, DataCentre, GroupSpec, InstanceRecord, MemberName, MemberSpec, NotRun, Outcome,
+    TargetKey, Unknown,
 };
 use gullspar_target::{Canceller, FrameSink, Unit};
 use gullspar_wire::LaneUnit;
@@ -49,9 +49,18 @@
 #[derive(Clone, Copy, Default)]
 struct TargetScore {
     mean_latency: Duration,
+    /// Requests of this instance that are on their way there.
+    in_flight: u32,
     avoid_until: Option<Instant>,
 }
 
+/// The state of knowledge that a request was routed by.
+#[derive(Clone, Copy, PartialEq, Eq)]
+struct Knowledge {
+    config: u64,
+    instances: u64,
+}
+
 /// A request on its way.
 pub(crate) struct Routed<'r> {
     pub(crate) unit: Unit,
@@ -68,6 +77,8 @@
     pub(crate) outcome: Outcome,
     pub(crate) lane: Option<HeldLane>,
     pub(crate) on_primary: bool,
+    /// The target that it was last tried at.
+    pub(crate) target: Option<TargetKey>,
 }
 
 /// Sends requests to targets.
@@ -75,7 +86,7 @@
     fleet: Rc<Fleet>,
     lanes: Rc<LanePool>,
     budget: RetryBudget,
-    scores: RefCell<HashMap<String, TargetScore>>,
+    scores: RefCell<HashMap<TargetKey, TargetScore>>,
 }
 
 impl Router {
@@ -99,8 +110,7 @@
         self.budget.fill();
         let mut pause = FIRST_PAUSE;
         loop {
-            let config = self.fleet.config.listen();
-            let members = self.fleet.listen();
+            let seen = self.knowledge();
             let routing = self.try_targets(routed, sink, on_lane).await;
             let again = match &routing.outcome {
                 Outcome::Done { .. } => false,
@@ -114,6 +124,9 @@
             if !again || sink.started || clock.now() >= routed.deadline {
                 return routing;
             }
+            if self.knowledge() != seen {
+                continue;
+            }
             // A change of leadership or of instances is the likeliest end of the trouble, and it is
             // the only thing that lets a request go again when the budget is spent.
             let paced = jittered(&*self.fleet.borders().entropy, pause);
@@ -122,12 +135,17 @@
             } else {
                 clock.now() + LONGEST_PAUSE.max(paced)
             };
-            let news = future::select(config, members);
+            let news = future::select(self.fleet.config.listen(), self.fleet.listen());
             let _ = within(&**clock, until.min(routed.deadline), news).await;
             pause = (pause * 2).min(LONGEST_PAUSE);
         }
     }
 
+    /// What a change of leadership or of instances would change.
+    fn knowledge(&self) -> Knowledge {
+        Knowledge { config: self.fleet.config.digest(), instances: self.fleet.generation() }
+    }
+
     async fn try_targets(
         &self,
         routed: &mut Routed<'_>,
@@ -154,7 +172,7 @@
         routed.unit.head.on_primary = true;
         let Some(primary) = primary.and_then(|it| routed.group.member(&it)) else {
             let outcome = Outcome::NotRun(NotRun::NoPrimary);
-            return Routing { outcome, lane: None, on_primary: true };
+            return Routing { outcome, lane: None, on_primary: true, target: None };
         };
         self.try_one(routed, primary, sink, on_lane).await
     }
@@ -189,18 +207,26 @@
     }
 
     /// What a read will probably take there; one not tried yet counts as near when it is.
+    ///
+    /// The mean latency alone lags behind: all reads of a moment would go to the replica that was best
+    /// a moment ago, and while it is swamped the others stand idle. Requests on their way count at once.
     fn expected_latency(
         &self,
         group: &GroupSpec,
         member: &MemberSpec,
         own: &DataCentre,
     ) -> Duration {
-        let mean = self.score(group, &member.name).mean_latency;
-        if mean.is_zero() && member.data_centre != *own { Duration::from_millis(1) } else { mean }
+        let score = self.score(group, &member.name);
+        let mean = score.mean_latency;
+        if mean.is_zero() && member.data_centre != *own {
+            Duration::from_millis(1)
+        } else {
+            mean * (score.in_flight + 1)
+        }
     }
 
     fn score(&self, group: &GroupSpec, member: &MemberName) -> TargetScore {
-        let key = GroupWatch::target_key(&group.name, member);
+        let key = TargetKey::new(&group.name, member);
         self.scores.borrow().get(&key).copied().unwrap_or_default()
     }
 
@@ -212,20 +238,21 @@
         on_lane: &dyn Fn(Option<Canceller>),
     ) -> Routing {
         let on_primary = routed.unit.head.on_primary;
-        let key = GroupWatch::target_key(&routed.group.name, &member.name);
+        let key = TargetKey::new(&routed.group.name, &member.name);
         let Some(home) = self.fleet.home(&key, &member.data_centre) else {
             let outcome = Outcome::NotRun(NotRun::Unreachable);
-            return Routing { outcome, lane: None, on_primary };
+            return Routing { outcome, lane: None, on_primary, target: Some(key) };
         };
         let clock = Rc::clone(&self.fleet.borders().clock);
         let started = clock.now();
         routed.unit.head.member = member.name.clone();
         let remaining = routed.deadline.saturating_duration_since(started);
         routed.unit.head.remaining_ms = remaining.as_millis() as u64;
+        self.depart(&key);
         let (outcome, lane) = self.run_on(&home, routed, sink, on_lane).await;
         let took = clock.now().saturating_duration_since(started);
-        self.learn(key, &outcome, took, clock.now());
-        Routing { outcome, lane, on_primary }
+        self.learn(&key, &outcome, took, clock.now());
+        Routing { outcome, lane, on_primary, target: Some(key) }
     }
 
     async fn run_on(
@@ -256,6 +283,7 @@
                     home: home.id.clone(),
                     lane,
                     on_primary: routed.unit.head.on_primary,
+                    member: routed.unit.head.member.clone(),
                 });
                 (outcome, held)
             }
@@ -298,9 +326,20 @@
         }
     }
 
-    fn learn(&self, key: String, outcome: &Outcome, took: Duration, now: Instant) {
+    fn depart(&self, key: &TargetKey) {
+        let mut scores = self.scores.borrow_mut();
+        if !scores.contains_key(key) {
+            scores.insert(key.clone(), TargetScore::default());
+        }
+        if let Some(score) = scores.get_mut(key) {
+            score.in_flight += 1;
+        }
+    }
+
+    fn learn(&self, key: &TargetKey, outcome: &Outcome, took: Duration, now: Instant) {
         let mut scores = self.scores.borrow_mut();
-        let score = scores.entry(key).or_default();
+        let Some(score) = scores.get_mut(key) else { return };
+        score.in_flight = score.in_flight.saturating_sub(1);
         match outcome {
             Outcome::Done { .. } => {
                 let mean = score.mean_latency;
--- a/crates/gullspar_caller/src/session.rs
+++ b/crates/gullspar_caller/src/session.rs
@@ -4,8 +4,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::{BufMut, BytesMut};
+use event_listener::EventListener;
 use futures::future::{self, Either};
-use gullspar_model::{Access, NotRun, Outcome, Token, Unknown};
+use gullspar_model::{Access, NotRun, Outcome, TargetKey, Token, Unknown};
 use gullspar_target::{Canceller, Unit};
 use gullspar_wire::{
     Channel, ErrorReport, Frame, LaneRequirement, LaneUnit, WireError, caller, command_complete,
@@ -22,6 +23,7 @@
 use crate::session_state::{HeldLane, SessionState, TransactionState};
 use crate::startup::{self, SessionRequest};
 use crate::statement::StatementKind;
+use crate::stats::Counted;
 use crate::{CallerServer, RequestKind};
 
 /// How long a read may wait for a replica to reach the session's floor before another target is
@@ -45,6 +47,8 @@
     state: SessionState,
     reader: RequestReader,
     registered: Registered,
+    /// Kept from one wait to the next.
+    leaving: Option<EventListener>,
 }
 
 impl Session {
@@ -96,6 +100,7 @@
             state,
             reader: RequestReader::default(),
             registered,
+            leaving: None,
         };
         for (name, value) in settings {
             if let Err(report) = session.apply_startup_setting(&name, &value) {
@@ -158,42 +163,26 @@
         if channel.has_unread() {
             return Ok(true);
         }
-        channel.release_memory();
-        loop {
-            let fleet = Rc::clone(&self.server.fleet);
-            let news = fleet.listen();
-            let idle = !self.state.continues();
-            if idle && fleet.is_leaving() {
-                // Nothing of this session is in flight; its caller finds another instance.
-                let report = ErrorReport::fatal(
-                    "57P01",
-                    "terminating connection: the instance is shutting down",
-                );
-                startup::refuse(channel, &report.with_hint("not run; connect again")).await?;
-                return Ok(false);
-            }
+        if self.state.continues() {
+            channel.wait_readable().await?;
+            return Ok(true);
+        }
+        let fleet = Rc::clone(&self.server.fleet);
+        let leaving = self.leaving.get_or_insert_with(|| fleet.listen_leaving());
+        if !fleet.is_leaving() {
             let readable = channel.wait_readable();
             futures::pin_mut!(readable);
-            if !idle {
-                readable.await?;
+            if let Either::Left((result, _)) = future::select(readable, leaving).await {
+                result?;
                 return Ok(true);
             }
-            // The same read must be awaited to its end: dropped, it might take bytes with it.
-            let mut news = news;
-            loop {
-                match future::select(readable, news).await {
-                    Either::Left((result, _)) => {
-                        result?;
-                        return Ok(true);
-                    }
-                    Either::Right(((), pending)) if !fleet.is_leaving() => {
-                        readable = pending;
-                        news = fleet.listen();
-                    }
-                    Either::Right(_) => break,
-                }
-            }
+            // The read is given up, and the connection with it.
         }
+        // Nothing of this session is in flight; its caller finds another instance.
+        let text = "terminating connection: the instance is shutting down";
+        let report = ErrorReport::fatal("57P01", text).with_hint("not run; connect again");
+        startup::refuse(channel, &report).await?;
+        Ok(false)
     }
 
     async fn answer(&mut self, channel: &mut Channel, req: Request) -> Result<(), WireError> {
@@ -361,8 +350,9 @@
         let on_primary = unit.head.on_primary;
         let Some(mut held) = self.state.held.take() else {
             let outcome = Outcome::NotRun(NotRun::TransactionLost);
-            return Routing { outcome, lane: None, on_primary };
+            return Routing { outcome, lane: None, on_primary, target: None };
         };
+        let target = Some(TargetKey::new(&unit.head.group, &held.member));
         let clock = Rc::clone(&self.server.fleet.borders().clock);
         let mut unit = unit.clone();
         let remaining = deadline.saturating_duration_since(clock.now());
@@ -372,17 +362,18 @@
         let result = self.server.router.unless_superseded(&unit.head, run).await;
         self.registered.set_running(None);
         let Some(result) = result else {
-            return Routing { outcome: router::superseded(&unit.head), lane: None, on_primary };
+            let outcome = router::superseded(&unit.head);
+            return Routing { outcome, lane: None, on_primary, target };
         };
         match result {
             Ok(outcome) => {
                 let sound = !matches!(outcome, Outcome::Unknown(_));
                 let lane = sound.then_some(held);
-                Routing { outcome, lane, on_primary }
+                Routing { outcome, lane, on_primary, target }
             }
             Err(_) => {
                 let outcome = router::lost_on_lane(&unit.head);
-                Routing { outcome, lane: None, on_primary }
+                Routing { outcome, lane: None, on_primary, target }
             }
         }
     }
@@ -418,14 +409,15 @@
             (Access::Read, false) => RequestKind::ReplicaRead,
         };
         let state = &self.state;
-        self.server.stats.count(
-            &state.service,
-            &state.class_name,
-            &state.class,
+        self.server.stats.count(&Counted {
+            service: &state.service,
+            class_name: &state.class_name,
+            class: &state.class,
             kind,
-            &routing.outcome,
+            outcome: &routing.outcome,
             took,
-        );
+            target: routing.target.as_ref(),
+        });
     }
 
     /// Takes what the request changed over into the session.
@@ -461,7 +453,7 @@
         continued: bool,
         deadline: Instant,
     ) -> Result<(), WireError> {
-        let Routing { outcome, lane, on_primary } = routing;
+        let Routing { outcome, lane, on_primary, .. } = routing;
         match outcome {
             Outcome::Done { status: byte, .. } => {
                 self.adopt_status(byte, on_primary, lane);
--- a/crates/gullspar_caller/src/session_state.rs
+++ b/crates/gullspar_caller/src/session_state.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use gullspar_model::{
-    CallerClass, CallerName, Consistency, InstanceId, LogPoint, ServiceName, ServiceObject,
+    CallerClass, CallerName, Consistency, InstanceId, LogPoint, MemberName, ServiceName,
+    ServiceObject,
 };
 use gullspar_target::Lane;
 
@@ -26,6 +27,7 @@
     pub(crate) home: InstanceId,
     pub(crate) lane: Box<dyn Lane>,
     pub(crate) on_primary: bool,
+    pub(crate) member: MemberName,
 }
 
 /// A session's identity, its floor and its transaction.
--- a/crates/gullspar_caller/src/stats.rs
+++ b/crates/gullspar_caller/src/stats.rs
@@ -2,10 +2,13 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::time::Duration;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 
-use gullspar_border::OutcomeCount;
-use gullspar_model::{CallerClass, Outcome, ServiceName};
+use gullspar_border::{BurnSeries, Clock, OutcomeCount};
+use gullspar_model::{CallerClass, Outcome, ServiceName, TargetKey};
+
+use crate::minute_ring::MinuteRing;
 
 /// What a request was, for counting.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -15,65 +18,131 @@
     Write,
 }
 
-#[derive(PartialEq, Eq, Hash)]
-struct StatsKey {
-    service: ServiceName,
-    class: String,
+/// A request that ended.
+pub(crate) struct Counted<'r> {
+    pub(crate) service: &'r ServiceName,
+    pub(crate) class_name: &'r str,
+    pub(crate) class: &'r CallerClass,
+    pub(crate) kind: RequestKind,
+    pub(crate) outcome: &'r Outcome,
+    pub(crate) took: Duration,
+    /// The target that it was last tried at.
+    pub(crate) target: Option<&'r TargetKey>,
+}
+
+struct ClassStats {
+    total: OutcomeCount,
+    ring: MinuteRing,
 }
 
 /// Requests of this instance since it started.
-#[derive(Default)]
 pub struct CallerStats {
-    counts: RefCell<HashMap<StatsKey, OutcomeCount>>,
+    clock: Rc<dyn Clock>,
+    started: Instant,
+    classes: RefCell<HashMap<ServiceName, HashMap<String, ClassStats>>>,
 }
 
 impl CallerStats {
+    /// No requests so far.
+    pub fn new(clock: Rc<dyn Clock>) -> Rc<CallerStats> {
+        let started = clock.now();
+        Rc::new(CallerStats { clock, started, classes: RefCell::default() })
+    }
+
+    /// The minute that it is, counted from the start.
+    fn minute(&self) -> u64 {
+        self.clock.now().saturating_duration_since(self.started).as_secs() / 60
+    }
+
     /// Counts one request.
-    pub(crate) fn count(
-        &self,
-        service: &ServiceName,
-        class_name: &str,
-        class: &CallerClass,
-        kind: RequestKind,
-        outcome: &Outcome,
-        took: Duration,
-    ) {
-        let key = StatsKey { service: service.clone(), class: class_name.to_owned() };
-        let mut counts = self.counts.borrow_mut();
-        let count = counts.entry(key).or_insert_with(|| empty(service, class_name));
-        count.objective_ppm = class.objective_ppm;
-        match outcome {
-            Outcome::Done { .. } if took > Duration::from_millis(class.deadline_ms) => {
-                count.late += 1;
-            }
-            Outcome::Done { .. } => count.done += 1,
-            Outcome::NotRun(_) => count.not_run += 1,
-            Outcome::Unknown(_) => count.unknown += 1,
+    pub(crate) fn count(&self, counted: &Counted<'_>) {
+        let minute = self.minute();
+        let mut classes = self.classes.borrow_mut();
+        if !classes.contains_key(counted.service) {
+            classes.insert(counted.service.clone(), HashMap::new());
         }
-        match kind {
-            RequestKind::ReplicaRead => count.replica_reads += 1,
-            RequestKind::PrimaryRead => count.primary_reads += 1,
-            RequestKind::Write => count.writes += 1,
+        let Some(service) = classes.get_mut(counted.service) else { return };
+        if !service.contains_key(counted.class_name) {
+            service.insert(counted.class_name.to_owned(), ClassStats::new(counted));
+        }
+        if let Some(stats) = service.get_mut(counted.class_name) {
+            stats.count(counted, minute);
         }
     }
 
     /// All counts.
     pub fn report(&self) -> Vec<OutcomeCount> {
-        self.counts.borrow().values().cloned().collect()
+        let classes = self.classes.borrow();
+        classes.values().flat_map(HashMap::values).map(|it| it.total.clone()).collect()
+    }
+
+    /// Requests by minute.
+    pub fn burn(&self) -> Vec<BurnSeries> {
+        let minute = self.minute();
+        let classes = self.classes.borrow();
+        let series = classes.values().flat_map(HashMap::values).map(|it| BurnSeries {
+            service: it.total.service.clone(),
+            class: it.total.class.clone(),
+            objective_ppm: it.total.objective_ppm,
+            minutes: it.ring.minutes(minute),
+            blames: it.ring.blames(minute),
+        });
+        series.collect()
     }
 }
 
-fn empty(service: &ServiceName, class: &str) -> OutcomeCount {
-    OutcomeCount {
-        service: service.to_string(),
-        class: class.to_owned(),
-        objective_ppm: 0,
-        done: 0,
-        late: 0,
-        not_run: 0,
-        unknown: 0,
-        replica_reads: 0,
-        primary_reads: 0,
-        writes: 0,
+impl ClassStats {
+    fn new(counted: &Counted<'_>) -> ClassStats {
+        let total = OutcomeCount {
+            service: counted.service.to_string(),
+            class: counted.class_name.to_owned(),
+            objective_ppm: 0,
+            done: 0,
+            late: 0,
+            not_run: 0,
+            unknown: 0,
+            replica_reads: 0,
+            primary_reads: 0,
+            writes: 0,
+        };
+        ClassStats { total, ring: MinuteRing::default() }
+    }
+
+    fn count(&mut self, counted: &Counted<'_>, minute: u64) {
+        let total = &mut self.total;
+        total.objective_ppm = counted.class.objective_ppm;
+        let now = self.ring.at(minute);
+        let reason = match counted.outcome {
+            Outcome::Done { .. }
+                if counted.took > Duration::from_millis(counted.class.deadline_ms) =>
+            {
+                total.late += 1;
+                now.late += 1;
+                Some("answered late")
+            }
+            Outcome::Done { .. } => {
+                total.done += 1;
+                now.good += 1;
+                None
+            }
+            Outcome::NotRun(reason) => {
+                total.not_run += 1;
+                now.not_run += 1;
+                Some(reason.text())
+            }
+            Outcome::Unknown(reason) => {
+                total.unknown += 1;
+                now.unknown += 1;
+                Some(reason.text())
+            }
+        };
+        if let Some(reason) = reason {
+            self.ring.blame(minute, counted.target, reason);
+        }
+        match counted.kind {
+            RequestKind::ReplicaRead => total.replica_reads += 1,
+            RequestKind::PrimaryRead => total.primary_reads += 1,
+            RequestKind::Write => total.writes += 1,
+        }
     }
 }
--- a/crates/gullspar_fleet/src/config_sync.rs
+++ b/crates/gullspar_fleet/src/config_sync.rs
@@ -54,7 +54,7 @@
     /// Whether this instance watches the platform for its data centre.
     pub fn is_relay(&self) -> bool {
         let own = self.data_centre();
-        let ranked = self.ranked(RELAY_KEY, &own);
+        let ranked = self.rank(RELAY_KEY, &own);
         ranked.iter().take(RELAYS).any(|it| it.id == self.id())
     }
 
@@ -90,7 +90,7 @@
         let data_centres: BTreeSet<DataCentre> =
             self.instances().into_iter().map(|it| it.data_centre).filter(|it| *it != own).collect();
         let relays = data_centres.iter().flat_map(|data_centre| {
-            let ranked = self.ranked(RELAY_KEY, data_centre);
+            let ranked = self.rank(RELAY_KEY, data_centre);
             let near: Vec<SocketAddr> = ranked
                 .iter()
                 .filter(|it| it.data_centre == *data_centre)
--- a/crates/gullspar_fleet/src/fleet.rs
+++ b/crates/gullspar_fleet/src/fleet.rs
@@ -1,12 +1,13 @@
 //! This instance among the others.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use event_listener::{Event, EventListener};
 use gullspar_border::{Clock, Dialer, Entropy, Peers, Platform};
-use gullspar_model::{DataCentre, InstanceId, InstanceRecord, InstanceState};
+use gullspar_model::{DataCentre, InstanceId, InstanceRecord, InstanceState, TargetKey};
 
 use crate::member_table::MemberTable;
 use crate::{ConfigStore, FleetTiming, RankedInstances};
@@ -21,17 +22,15 @@
     pub platform: Rc<dyn Platform>,
 }
 
-#[derive(PartialEq, Eq, Hash)]
-struct RankKey {
-    key: String,
-    data_centre: DataCentre,
-}
-
 struct CachedRank {
     generation: u64,
+    data_centre: DataCentre,
     ranked: Rc<Vec<InstanceRecord>>,
 }
 
+/// How long an instance looks for others before it acts alone.
+const JOIN_WITHIN: Duration = Duration::from_millis(1200);
+
 /// The instances known to this one, and the configuration shared with them.
 pub struct Fleet {
     pub(crate) own: RefCell<InstanceRecord>,
@@ -39,8 +38,14 @@
     pub(crate) borders: Borders,
     pub(crate) timing: FleetTiming,
     pub(crate) seeds: Vec<std::net::SocketAddr>,
-    ranks: RefCell<HashMap<RankKey, CachedRank>>,
+    /// Whether another instance answered since the start.
+    pub(crate) heard_of_others: Cell<bool>,
+    /// When an instance that heard of no other takes itself for the only one.
+    alone_from: Instant,
+    ranks: RefCell<HashMap<TargetKey, CachedRank>>,
     changed: Event,
+    /// Apart from `changed`, because every idle session waits for it.
+    leaving: Event,
     /// The configuration in force.
     pub config: ConfigStore,
 }
@@ -55,7 +60,10 @@
     ) -> Rc<Fleet> {
         let mut table = MemberTable::default();
         table.learn(&own, None);
+        let alone_from = borders.clock.now() + JOIN_WITHIN;
         Rc::new(Fleet {
+            heard_of_others: Cell::new(false),
+            alone_from,
             own: RefCell::new(own),
             table: RefCell::new(table),
             borders,
@@ -63,6 +71,7 @@
             seeds,
             ranks: RefCell::default(),
             changed: Event::new(),
+            leaving: Event::new(),
             config: ConfigStore::default(),
         })
     }
@@ -99,6 +108,7 @@
         self.own.borrow_mut().state = InstanceState::Leaving;
         let own = self.own.borrow().clone();
         self.learn(&own, None);
+        self.leaving.notify(usize::MAX);
     }
 
     /// All instances known, dead ones included.
@@ -112,30 +122,57 @@
     }
 
     /// The instances that take work, in the order in which they would hold `target`.
-    pub fn ranked(&self, target: &str, data_centre: &DataCentre) -> Rc<Vec<InstanceRecord>> {
-        let generation = self.table.borrow().generation;
-        let key = RankKey { key: target.to_owned(), data_centre: data_centre.clone() };
-        if let Some(cached) = self.ranks.borrow().get(&key)
+    pub fn ranked(&self, target: &TargetKey, data_centre: &DataCentre) -> Rc<Vec<InstanceRecord>> {
+        let generation = self.generation();
+        if let Some(cached) = self.ranks.borrow().get(target)
             && cached.generation == generation
+            && cached.data_centre == *data_centre
         {
             return Rc::clone(&cached.ranked);
         }
+        let ranked = Rc::new(self.rank(&target.to_string(), data_centre));
+        let cached =
+            CachedRank { generation, data_centre: data_centre.clone(), ranked: Rc::clone(&ranked) };
+        self.ranks.borrow_mut().insert(target.clone(), cached);
+        ranked
+    }
+
+    /// The instances that take work, ranked for any key.
+    pub(crate) fn rank(&self, key: &str, data_centre: &DataCentre) -> Vec<InstanceRecord> {
         let table = self.table.borrow();
         let live = table.all().filter(|it| it.takes_work()).cloned();
-        let ranked = Rc::new(RankedInstances::rank(target, data_centre, live));
-        let cached = CachedRank { generation, ranked: Rc::clone(&ranked) };
-        self.ranks.borrow_mut().insert(key, cached);
-        ranked
+        RankedInstances::rank(key, data_centre, live)
+    }
+
+    /// Counts up whenever what is known of the instances changes.
+    pub fn generation(&self) -> u64 {
+        self.table.borrow().generation
     }
 
     /// The instance that holds the connections of `target`.
-    pub fn home(&self, target: &str, data_centre: &DataCentre) -> Option<InstanceRecord> {
+    pub fn home(&self, target: &TargetKey, data_centre: &DataCentre) -> Option<InstanceRecord> {
         self.ranked(target, data_centre).first().cloned()
     }
 
+    /// Whether this instance may act as a home.
+    ///
+    /// An instance that just started knows of no other and would take itself for the home of
+    /// everything. A data centre that restarts at once would so open every connection to every target
+    /// from every instance.
+    fn has_joined(&self) -> bool {
+        self.heard_of_others.get() || self.borders.clock.now() >= self.alone_from
+    }
+
     /// Whether this instance holds the connections of `target`.
-    pub fn is_home(&self, target: &str, data_centre: &DataCentre) -> bool {
-        self.home(target, data_centre).is_some_and(|it| it.id == self.id())
+    pub fn is_home(&self, target: &TargetKey, data_centre: &DataCentre) -> bool {
+        let ranked = self.ranked(target, data_centre);
+        let first = ranked.first().is_some_and(|it| it.id == self.own.borrow().id);
+        first && self.has_joined()
+    }
+
+    /// Notified once, when this instance begins to shut down.
+    pub fn listen_leaving(&self) -> EventListener {
+        self.leaving.listen()
     }
 
     /// Notified when the instances change; take it before reading, so that no change is missed.
@@ -149,11 +186,7 @@
     }
 
     /// Believes a record if it is news.
-    pub(crate) fn learn(
-        &self,
-        record: &InstanceRecord,
-        dead_at: Option<std::time::Instant>,
-    ) -> bool {
+    pub(crate) fn learn(&self, record: &InstanceRecord, dead_at: Option<Instant>) -> bool {
         let news = self.table.borrow_mut().learn(record, dead_at);
         if news {
             self.changed.notify(usize::MAX);
--- a/crates/gullspar_fleet/src/gossip.rs
+++ b/crates/gullspar_fleet/src/gossip.rs
@@ -150,6 +150,7 @@
 
     fn hear(&self, from: &InstanceRecord, news: &[InstanceRecord], now: Instant) {
         self.learn(from, None);
+        self.heard_of_others.set(true);
         for record in news {
             if record.id == self.id() {
                 self.object_to(record);
--- a/crates/gullspar_group/src/group_manager.rs
+++ b/crates/gullspar_group/src/group_manager.rs
@@ -7,7 +7,7 @@
 
 use gullspar_border::within;
 use gullspar_fleet::Fleet;
-use gullspar_model::{GroupName, GroupSpec, MemberName};
+use gullspar_model::{GroupName, GroupSpec, MemberName, TargetKey};
 
 use crate::{GroupTiming, GroupWatch};
 
@@ -64,9 +64,8 @@
             // The configuration tells of promotions, which some wait for.
             watch.wake();
         }
-        let now = self.fleet.borders().clock.now();
         self.watches.borrow_mut().retain(|name, watch| {
-            let keep = watch.is_kept(wanted.contains(name), now);
+            let keep = watch.is_kept(wanted.contains(name));
             watch.ended.set(!keep);
             keep
         });
@@ -74,7 +73,7 @@
 
     fn holds_any(&self, spec: &GroupSpec) -> bool {
         spec.members.iter().any(|it| {
-            let key = GroupWatch::target_key(&spec.name, &it.name);
+            let key = TargetKey::new(&spec.name, &it.name);
             self.fleet.is_home(&key, &it.data_centre)
         })
     }
--- a/crates/gullspar_group/src/group_watch.rs
+++ b/crates/gullspar_group/src/group_watch.rs
@@ -14,10 +14,6 @@
 
 use crate::{GroupTiming, MemberView, Reading, ReadingHistory};
 
-/// How long a group is observed after this instance handed on what it held of it: longer than requests
-/// in flight last.
-const LINGER: Duration = Duration::from_secs(6);
-
 /// Who leads a group, as far as is known here.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Leader {
@@ -35,6 +31,25 @@
     Unknown(Unknown),
 }
 
+/// A request in flight that needs a group observed.
+pub struct WatchUse {
+    watch: Rc<GroupWatch>,
+}
+
+impl std::ops::Deref for WatchUse {
+    type Target = Rc<GroupWatch>;
+
+    fn deref(&self) -> &Rc<GroupWatch> {
+        &self.watch
+    }
+}
+
+impl Drop for WatchUse {
+    fn drop(&mut self) {
+        self.watch.users.set(self.watch.users.get() - 1);
+    }
+}
+
 /// The state of a group that this instance holds at least one member of.
 pub struct GroupWatch {
     pub(crate) name: GroupName,
@@ -47,8 +62,8 @@
     trust_silence_after: Cell<Instant>,
     /// When the claim last seen on the platform was first seen.
     pub(crate) claim_seen: Cell<(Term, Instant)>,
-    /// When observation ends, for a group of which this instance holds nothing any more.
-    ends_at: Cell<Option<Instant>>,
+    /// Requests in flight that need the group observed.
+    users: Cell<u32>,
     changed: Event,
     pub(crate) ended: Cell<bool>,
 }
@@ -70,7 +85,7 @@
             readings: RefCell::default(),
             trust_silence_after: Cell::new(now + timing.failed_after),
             claim_seen: Cell::new((Term(0), now)),
-            ends_at: Cell::new(None),
+            users: Cell::new(0),
             changed: Event::new(),
             ended: Cell::new(false),
             fleet,
@@ -95,11 +110,6 @@
         Rc::clone(&self.spec.borrow())
     }
 
-    /// The key by which a member's home is found.
-    pub fn target_key(group: &GroupName, member: &MemberName) -> String {
-        format!("{group}/{member}")
-    }
-
     /// What was last seen of a member.
     pub fn view(&self, member: &MemberName) -> Option<MemberView> {
         self.views.borrow().get(member).copied()
@@ -136,15 +146,17 @@
     /// Whether observation goes on, for a group of which this instance holds something or not.
     ///
     /// An instance that hands its targets on, as at a shutdown, still has writes in flight whose
-    /// acknowledgement only observation brings; ended at once, they would all end unknown.
-    pub(crate) fn is_kept(&self, held: bool, now: Instant) -> bool {
-        if held {
-            self.ends_at.set(None);
-            return true;
-        }
-        let ends_at = self.ends_at.get().unwrap_or(now + LINGER);
-        self.ends_at.set(Some(ends_at));
-        now < ends_at
+    /// acknowledgement only observation brings; ended at once, they would all end unknown. Kept on
+    /// for a fixed time instead, the observers of all former homes would fill the connections that
+    /// targets accept, seen as refusals with 53300 after each change of instances.
+    pub(crate) fn is_kept(&self, held: bool) -> bool {
+        held || self.users.get() > 0
+    }
+
+    /// Keeps the group observed for as long as the guard lives.
+    pub fn in_use(self: &Rc<Self>) -> WatchUse {
+        self.users.set(self.users.get() + 1);
+        WatchUse { watch: Rc::clone(self) }
     }
 
     /// Lets whoever waits look again.
--- a/crates/gullspar_group/src/lib.rs
+++ b/crates/gullspar_group/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use group_manager::GroupManager;
 pub use group_timing::GroupTiming;
-pub use group_watch::{GroupWatch, Leader, Settled};
+pub use group_watch::{GroupWatch, Leader, Settled, WatchUse};
 pub use member_view::MemberView;
 pub use promotion::{Promotion, PromotionError, PromotionStep};
 pub use reading_history::{Reading, ReadingHistory};
--- a/crates/gullspar_group/src/observer.rs
+++ b/crates/gullspar_group/src/observer.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use gullspar_model::MemberName;
+use gullspar_model::{MemberName, TargetKey};
 
 use crate::{GroupWatch, TargetControl, TargetError};
 
@@ -55,7 +55,7 @@
     fn wakes_on_position(&self, member: &MemberName) -> bool {
         let holds = |it: &MemberName| {
             let spec = self.spec.borrow();
-            let key = GroupWatch::target_key(&self.name, it);
+            let key = TargetKey::new(&self.name, it);
             spec.member(it).is_some_and(|it| self.fleet.is_home(&key, &it.data_centre))
         };
         holds(member) || self.leader().is_some_and(|it| holds(&it.member))
--- a/crates/gullspar_group/src/repair.rs
+++ b/crates/gullspar_group/src/repair.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use gullspar_model::MemberName;
+use gullspar_model::{MemberName, TargetKey};
 
 use crate::{GroupWatch, TargetControl, TargetError};
 
@@ -34,7 +34,7 @@
     fn is_astray(&self, member: &MemberName) -> bool {
         let spec = self.spec();
         let Some(own) = spec.member(member) else { return false };
-        let key = GroupWatch::target_key(&self.name, member);
+        let key = TargetKey::new(&self.name, member);
         let Some(leader) = self.leader() else { return false };
         let Some(status) = self.view(member).and_then(|it| it.status) else { return false };
         leader.member != *member
--- a/crates/gullspar_group/src/suspicion.rs
+++ b/crates/gullspar_group/src/suspicion.rs
@@ -6,7 +6,7 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use gullspar_border::{PeerReply, PeerRequest, PrimaryView};
-use gullspar_model::{GroupObject, InstanceId, InstanceRecord, MemberRole};
+use gullspar_model::{GroupObject, InstanceId, InstanceRecord, MemberRole, TargetKey};
 
 use crate::{GroupWatch, Leader, Promotion, TargetControl};
 
@@ -150,7 +150,7 @@
     pub(crate) fn member_homes(&self) -> Vec<InstanceRecord> {
         let spec = self.spec();
         let homes = spec.members.iter().filter_map(|it| {
-            let key = GroupWatch::target_key(&self.name, &it.name);
+            let key = TargetKey::new(&self.name, &it.name);
             self.fleet.home(&key, &it.data_centre)
         });
         homes.collect()
--- a/crates/gullspar_instance/src/instance.rs
+++ b/crates/gullspar_instance/src/instance.rs
@@ -112,9 +112,7 @@
             compio::runtime::spawn(accept_lanes(lanes, Rc::clone(&parts), secret)),
             compio::runtime::spawn(accept_callers(callers, Rc::clone(&parts.callers))),
         ];
-        let reporter = Rc::clone(&parts);
-        let report = Box::new(move || reporter.report());
-        let operator = Operator::new(Rc::clone(&parts.fleet), report);
+        let operator = Operator::new(Rc::clone(&parts.fleet), Rc::clone(&parts) as _);
         let serve = cyper_axum::serve(operators, gullspar_operator::router(operator));
         tasks.push(compio::runtime::spawn(async move {
             if let Err(err) = serve.await {
@@ -173,7 +171,7 @@
     let lanes = Lanes::new(Rc::clone(&fleet), Rc::clone(&pools), settings.lane_secret.clone());
     let router = Router::new(Rc::clone(&fleet), LanePool::new(lanes));
     let cancels = CancelRegistry::new(Rc::clone(&fleet));
-    let stats = Rc::new(CallerStats::default());
+    let stats = CallerStats::new(Rc::clone(&fleet.borders().clock));
     let caller_settings = CallerSettings {
         limit: settings.caller_limit,
         token_key: TokenKey::new(&settings.token_secret),
--- a/crates/gullspar_instance/src/peer_side.rs
+++ b/crates/gullspar_instance/src/peer_side.rs
@@ -6,6 +6,8 @@
 use futures::future::LocalBoxFuture;
 use gullspar_border::{PeerHandler, PeerReply, PeerRequest, PrimaryView};
 
+use gullspar_operator::OwnReports;
+
 use crate::instance::Parts;
 
 impl PeerHandler for Parts {
@@ -36,6 +38,7 @@
                     self.cancels.cancel_here(process, secret);
                     PeerReply::Accepted
                 }
+                PeerRequest::Burn => PeerReply::Burn(self.stats.burn()),
                 PeerRequest::Report => PeerReply::Report(Box::new(self.report())),
             }
         }
--- a/crates/gullspar_instance/src/report.rs
+++ b/crates/gullspar_instance/src/report.rs
@@ -1,13 +1,14 @@
 //! What an instance reports of itself.
 
-use gullspar_border::{ConfigEntry, InstanceReport, MemberReport};
+use gullspar_border::{BurnSeries, ConfigEntry, InstanceReport, MemberReport};
 use gullspar_group::GroupWatch;
+use gullspar_model::TargetKey;
+use gullspar_operator::OwnReports;
 
 use crate::instance::Parts;
 
-impl Parts {
-    /// Everything that operators may want to know of this instance.
-    pub(crate) fn report(&self) -> InstanceReport {
+impl OwnReports for Parts {
+    fn report(&self) -> InstanceReport {
         let configuration = self
             .fleet
             .config
@@ -26,11 +27,17 @@
         }
     }
 
+    fn burn(&self) -> Vec<BurnSeries> {
+        self.stats.burn()
+    }
+}
+
+impl Parts {
     fn members(&self, watch: &GroupWatch) -> Vec<MemberReport> {
         let spec = watch.spec();
         let reports = spec.members.iter().map(|member| {
             let view = watch.view(&member.name);
-            let key = GroupWatch::target_key(&spec.name, &member.name);
+            let key = TargetKey::new(&spec.name, &member.name);
             let pool = self.pools.report(&spec.name, &member.name);
             MemberReport {
                 group: spec.name.clone(),
--- a/crates/gullspar_model/src/lib.rs
+++ b/crates/gullspar_model/src/lib.rs
@@ -16,6 +16,7 @@
 mod outcome;
 mod record;
 mod service_object;
+mod target_key;
 mod token;
 mod token_key;
 
@@ -31,5 +32,6 @@
 pub use names::{CallerName, DataCentre, GroupName, InstanceId, MemberName, ServiceName};
 pub use outcome::{NotRun, Outcome, SqlState, Unknown};
 pub use service_object::{CallerSpec, ServiceObject};
+pub use target_key::TargetKey;
 pub use token::Token;
 pub use token_key::{TokenError, TokenKey};
--- a/crates/gullspar_operator/src/http.rs
+++ b/crates/gullspar_operator/src/http.rs
@@ -32,6 +32,7 @@
         .route("/v1/plans", post(plan))
         .route("/v1/confirm", post(confirm))
         .route("/v1/status", get(status))
+        .route("/v1/burn", get(burn))
         .route("/metrics", get(serve_metrics))
         .with_state(SendWrapper::new(operator))
 }
@@ -86,7 +87,12 @@
     SendWrapper::new(async move { Json(operator.status().await).into_response() }).await
 }
 
+async fn burn(State(operator): State<Shared>) -> Response {
+    let operator = operator.take();
+    SendWrapper::new(async move { Json(operator.burn().await).into_response() }).await
+}
+
 async fn serve_metrics(State(operator): State<Shared>) -> Response {
     let operator = operator.take();
-    metrics::prometheus(&(operator.report)()).into_response()
+    metrics::prometheus(&operator.own.report()).into_response()
 }
--- a/crates/gullspar_operator/src/lib.rs
+++ b/crates/gullspar_operator/src/lib.rs
@@ -1,6 +1,7 @@
 //! The operators' side: intents become plans, confirmed plans become configuration, and status tells
 //! what is in force and what hurts.
 
+mod burn;
 mod change;
 mod confirm;
 mod http;
@@ -14,6 +15,6 @@
 pub use confirm::{ConfirmError, Confirmed};
 pub use http::router;
 pub use intent::Intent;
-pub use operator::Operator;
+pub use operator::{Operator, OwnReports};
 pub use plan::{Plan, PlanError};
 pub use status::{InstanceStatus, ServiceStatus, Status};
--- a/crates/gullspar_operator/src/operator.rs
+++ b/crates/gullspar_operator/src/operator.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use gullspar_border::{ObjectVersion, PlatformError};
+use gullspar_border::{BurnSeries, InstanceReport, ObjectVersion, PlatformError};
 use gullspar_fleet::Fleet;
 use gullspar_model::{ServiceName, ServiceObject};
 
@@ -17,16 +17,22 @@
 /// What answers operators on one instance.
 pub struct Operator {
     pub(crate) fleet: Rc<Fleet>,
-    pub(crate) report: Box<dyn Fn() -> gullspar_border::InstanceReport>,
+    pub(crate) own: Rc<dyn OwnReports>,
+}
+
+/// What an instance reports of itself.
+pub trait OwnReports {
+    /// Its state and counts.
+    fn report(&self) -> InstanceReport;
+
+    /// Its requests by minute.
+    fn burn(&self) -> Vec<BurnSeries>;
 }
 
 impl Operator {
-    /// An operator side that reports on its own instance through `report`.
-    pub fn new(
-        fleet: Rc<Fleet>,
-        report: Box<dyn Fn() -> gullspar_border::InstanceReport>,
-    ) -> Rc<Operator> {
-        Rc::new(Operator { fleet, report })
+    /// An operator side that reports on its own instance through `own`.
+    pub fn new(fleet: Rc<Fleet>, own: Rc<dyn OwnReports>) -> Rc<Operator> {
+        Rc::new(Operator { fleet, own })
     }
 
     pub(crate) fn key(service: &ServiceName) -> String {
--- a/crates/gullspar_operator/src/status.rs
+++ b/crates/gullspar_operator/src/status.rs
@@ -47,7 +47,7 @@
             let own = own.clone();
             async move {
                 let report = if record.id == own {
-                    Some((self.report)())
+                    Some(self.own.report())
                 } else if record.state == InstanceState::Dead {
                     None
                 } else {
--- a/crates/gullspar_target/src/lane_server.rs
+++ b/crates/gullspar_target/src/lane_server.rs
@@ -73,7 +73,6 @@
     let mut lane = LocalLane::new(Rc::clone(pools));
     active.cancellers.borrow_mut().insert(number, lane.canceller());
     loop {
-        channel.release_memory();
         channel.wait_readable().await?;
         let frame = channel.next().await?;
         if frame.kind() != LaneFrame::UNIT {
--- a/crates/gullspar_target/src/local_lane.rs
+++ b/crates/gullspar_target/src/local_lane.rs
@@ -9,7 +9,7 @@
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
 use gullspar_border::within;
-use gullspar_group::{GroupWatch, STATUS_NOW, Settled, read_status};
+use gullspar_group::{GroupWatch, STATUS_NOW, Settled, WatchUse, read_status};
 use gullspar_model::{Access, LogPoint, MemberStatus, NotRun, Outcome, Term, Unknown};
 use gullspar_wire::{ErrorReport, LaneUnit, WireError, query, status, target};
 
@@ -43,7 +43,7 @@
 
 /// A unit that may run now.
 struct Admitted {
-    watch: Rc<GroupWatch>,
+    watch: WatchUse,
     pool: Rc<TargetPool>,
     /// The term under which a unit on the primary runs.
     term: Option<Term>,
@@ -66,7 +66,7 @@
 /// A connection kept from one unit to the next.
 struct Pinned {
     checked_out: CheckedOut,
-    watch: Rc<GroupWatch>,
+    watch: WatchUse,
     pool: Rc<TargetPool>,
     term: Option<Term>,
 }
@@ -131,6 +131,7 @@
         // A pinned connection that the caller no longer counts on is in no known state.
         self.pinned = None;
         let (watch, pool) = self.pools.pool(&head.group, &head.member)?;
+        let watch = watch.in_use();
         let term = check_leadership(&watch, head)?;
         if !head.on_primary {
             let clock = &self.pools.fleet.borders().clock;
@@ -253,7 +254,7 @@
         // The connection and its slot are free for others while the answer waits.
         let pinned = exchanged.status != status::IDLE || head.keep;
         if pinned {
-            self.pinned = Some(Pinned { checked_out, watch: Rc::clone(&watch), pool, term });
+            self.pinned = Some(Pinned { checked_out, watch: watch.in_use(), pool, term });
         } else if !head.dirties {
             checked_out.give_back();
         }
--- a/crates/gullspar_target/src/pools.rs
+++ b/crates/gullspar_target/src/pools.rs
@@ -6,7 +6,7 @@
 
 use gullspar_fleet::Fleet;
 use gullspar_group::{GroupManager, GroupWatch};
-use gullspar_model::{GroupName, MemberName, NotRun};
+use gullspar_model::{GroupName, MemberName, NotRun, TargetKey};
 
 use crate::TargetPool;
 
@@ -22,7 +22,7 @@
 pub struct Pools {
     pub(crate) fleet: Rc<Fleet>,
     pub(crate) groups: Rc<GroupManager>,
-    pools: RefCell<HashMap<String, Rc<TargetPool>>>,
+    pools: RefCell<HashMap<TargetKey, Rc<TargetPool>>>,
 }
 
 impl Pools {
@@ -40,7 +40,7 @@
         let watch = self.groups.watch(group).ok_or(NotRun::NotHome)?;
         let spec = watch.spec();
         let spec = spec.member(member).ok_or(NotRun::NotHome)?;
-        let key = GroupWatch::target_key(group, member);
+        let key = TargetKey::new(group, member);
         if !self.fleet.is_home(&key, &spec.data_centre) {
             // Connections held by two instances at once could exceed what the target accepts.
             self.drop_pool(&key);
@@ -63,7 +63,7 @@
         Ok((watch, pool))
     }
 
-    fn drop_pool(&self, key: &str) {
+    fn drop_pool(&self, key: &TargetKey) {
         self.pools.borrow_mut().remove(key);
     }
 
@@ -74,7 +74,7 @@
     pub fn release_foreign(&self) {
         for watch in self.groups.watches() {
             for member in &watch.spec().members {
-                let key = GroupWatch::target_key(&watch.name(), &member.name);
+                let key = TargetKey::new(&watch.name(), &member.name);
                 if !self.fleet.is_home(&key, &member.data_centre) {
                     self.drop_pool(&key);
                 }
@@ -90,7 +90,7 @@
     /// What a target's pool is doing.
     pub fn report(&self, group: &GroupName, member: &MemberName) -> PoolReport {
         let pools = self.pools.borrow();
-        let pool = pools.get(&GroupWatch::target_key(group, member));
+        let pool = pools.get(&TargetKey::new(group, member));
         pool.map_or(PoolReport::default(), |it| PoolReport {
             connections: it.open_connections(),
             busy_slots: it.busy_slots(),
--- a/crates/gullspar_wire/src/channel.rs
+++ b/crates/gullspar_wire/src/channel.rs
@@ -22,6 +22,9 @@
     /// A pending read owns its buffer, so this times the idle connections is what an instance pays.
     const IDLE_BUFFER: usize = 512;
 
+    /// A buffer that grew beyond this is not kept for the next message, in bytes.
+    const KEPT_BUFFER: usize = 2 * 1024;
+
     /// Memory for reading while messages flow, in bytes.
     const BUSY_BUFFER: usize = 16 * 1024;
 
@@ -50,7 +53,9 @@
     /// Waits until something has arrived, holding little memory meanwhile.
     pub async fn wait_readable(&mut self) -> Result<(), WireError> {
         if self.incoming.is_empty() {
-            self.incoming = BytesMut::new();
+            if self.incoming.capacity() > Channel::KEPT_BUFFER {
+                self.incoming = BytesMut::new();
+            }
             self.fill(Channel::IDLE_BUFFER).await?;
         }
         Ok(())
@@ -100,9 +105,8 @@
             return Ok(());
         }
         let buf = std::mem::take(&mut self.outgoing);
-        let large = buf.len() > Channel::BUSY_BUFFER;
         let buf = self.link.send(buf).await?;
-        if !large {
+        if buf.capacity() <= Channel::KEPT_BUFFER {
             self.outgoing = buf;
         }
         Ok(())
@@ -148,13 +152,6 @@
         }
     }
 
-    /// Gives back the memory that a busy connection gathered.
-    pub fn release_memory(&mut self) {
-        if self.outgoing.is_empty() {
-            self.outgoing = BytesMut::new();
-        }
-    }
-
     async fn fill(&mut self, room: usize) -> Result<(), WireError> {
         let mut buf = std::mem::take(&mut self.incoming);
         let before = buf.len();
--- a/crates/gullsparctl/src/command_line.rs
+++ b/crates/gullsparctl/src/command_line.rs
@@ -43,12 +43,32 @@
         .subcommand(
             Command::new("status")
                 .about("Tells what is in force where, and what each instance sees")
-                .arg(address)
-                .arg(json),
+                .arg(address.clone())
+                .arg(json.clone()),
         )
+        .subcommand(report(address, json))
         .subcommand(lab())
 }
 
+fn report(address: Arg, json: Arg) -> Command {
+    let html = Arg::new("html")
+        .long("html")
+        .value_name("FILE")
+        .help("Write the report as one self-contained page with plots")
+        .value_parser(value_parser!(PathBuf));
+    Command::new("report")
+        .about("Reports")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(
+            Command::new("burn")
+                .about("How fast each service and class uses up what its objective allows to fail, and why")
+                .arg(address)
+                .arg(json)
+                .arg(html),
+        )
+}
+
 fn path(name: &'static str, help: &'static str) -> Arg {
     Arg::new("file").value_name(name).help(help).required(true).value_parser(value_parser!(PathBuf))
 }
--- a/crates/gullsparctl/src/main.rs
+++ b/crates/gullsparctl/src/main.rs
@@ -4,6 +4,7 @@
 mod command_line;
 mod lab_command;
 mod operator_command;
+mod report_command;
 
 use std::process::ExitCode;
 
@@ -11,6 +12,7 @@
     let matches = command_line::command().get_matches();
     let result = match matches.subcommand() {
         Some(("lab", args)) => lab_command::run(args),
+        Some(("report", args)) => report_command::run(args),
         Some((name, args)) => operator_command::run(name, args),
         // The command line accepts nothing else.
         None => Ok(()),
--- a/crates/gullsparctl/src/operator_command.rs
+++ b/crates/gullsparctl/src/operator_command.rs
@@ -23,7 +23,7 @@
     Ok(())
 }
 
-fn address(args: &ArgMatches) -> Result<SocketAddr, CommandError> {
+pub(crate) fn address(args: &ArgMatches) -> Result<SocketAddr, CommandError> {
     let missing = || CommandError::Text("--at is missing".to_owned());
     args.get_one::<SocketAddr>("at").copied().ok_or_else(missing)
 }
