--- a/crates/gullspar_bench/benches/path.rs
+++ b/crates/gullspar_bench/benches/path.rs
@@ -20,7 +20,9 @@
     let lab = lab_before_trivial_targets();
     let instance = lab.instances[0].addresses.caller;
     println!("connections  way       statements/s  p50 ms  p99 ms  processor µs each");
-    for connections in [1, 64, 1000] {
+    // `CONNECTIONS=64` measures one size only, as for a profile.
+    let only = std::env::var("CONNECTIONS").ok().and_then(|it| it.parse().ok());
+    for connections in only.map_or(vec![1, 64, 1000], |it| vec![it]) {
         let direct = measure("direct", connections, target.address, true, "none");
         let relayed = measure("relay", connections, relay.address, true, "relay");
         let proxied = measure("gullspar", connections, instance, false, "gullspar-");
--- a/crates/gullspar_target/src/local_lane.rs
+++ b/crates/gullspar_target/src/local_lane.rs
@@ -84,12 +84,16 @@
     pools: Rc<Pools>,
     pinned: Option<Pinned>,
     running: Rc<RefCell<Option<CancelTarget>>>,
+    /// Made once, since every request asks for it.
+    canceller: Canceller,
 }
 
 impl LocalLane {
     /// A lane without a connection.
     pub fn new(pools: Rc<Pools>) -> LocalLane {
-        LocalLane { pools, pinned: None, running: Rc::default() }
+        let running = Rc::default();
+        let canceller = canceller(&pools, &running);
+        LocalLane { pools, pinned: None, running, canceller }
     }
 
     async fn run_unit(&mut self, unit: &Unit, sink: &mut dyn FrameSink) -> Outcome {
@@ -139,7 +143,7 @@
             let max_age = head.requirement.max_age_ms.map(Duration::from_millis);
             watch.wait_fresh(&head.member, head.requirement.floor, max_age, until).await?;
         }
-        let checked_out = pool.check_out(head.priority, deadline).await?;
+        let checked_out = pool.check_out(head, deadline).await?;
         Ok(Admitted { watch, pool, term, checked_out })
     }
 
@@ -460,24 +464,29 @@
     }
 
     fn canceller(&self) -> Canceller {
-        let running = Rc::clone(&self.running);
-        let borders = self.pools.fleet.borders().clone();
-        Rc::new(move || {
-            let Some(running) = running.borrow().clone() else { return };
-            // From now on the connection never serves another caller: the target may act on the
-            // request late.
-            running.cancelled.set(true);
-            let borders = borders.clone();
-            compio::runtime::spawn(async move {
-                let deadline = borders.clock.now() + Duration::from_secs(1);
-                let Ok(mut link) = borders.dialer.dial(running.address, deadline).await else {
-                    return;
-                };
-                let message = gullspar_wire::cancel_request(running.key);
-                // A cancel request has no answer; the statement goes on if it gets lost.
-                let _ = within(&*borders.clock, deadline, link.send(message)).await;
-            })
-            .detach();
-        })
+        Rc::clone(&self.canceller)
     }
 }
+
+/// Makes what cancels the statement that `running` names at the time.
+fn canceller(pools: &Pools, running: &Rc<RefCell<Option<CancelTarget>>>) -> Canceller {
+    let running = Rc::clone(running);
+    let borders = pools.fleet.borders().clone();
+    Rc::new(move || {
+        let Some(running) = running.borrow().clone() else { return };
+        // From now on the connection never serves another caller: the target may act on the request
+        // late.
+        running.cancelled.set(true);
+        let borders = borders.clone();
+        compio::runtime::spawn(async move {
+            let deadline = borders.clock.now() + Duration::from_secs(1);
+            let Ok(mut link) = borders.dialer.dial(running.address, deadline).await else {
+                return;
+            };
+            let message = gullspar_wire::cancel_request(running.key);
+            // A cancel request has no answer; the statement goes on if it gets lost.
+            let _ = within(&*borders.clock, deadline, link.send(message)).await;
+        })
+        .detach();
+    })
+}
--- a/crates/gullspar_target/src/target_connection.rs
+++ b/crates/gullspar_target/src/target_connection.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::collections::HashSet;
 use std::rc::Rc;
+use std::time::Instant;
 
 use gullspar_wire::Channel;
 
@@ -17,6 +18,8 @@
     pub(crate) cancel_key: (i32, i32),
     /// Set when a cancel request was sent to the target for this connection.
     pub(crate) cancelled: Rc<Cell<bool>>,
+    /// When it last became idle.
+    pub(crate) given_back_at: Instant,
 }
 
 impl TargetConnection {
--- a/crates/gullspar_target/src/target_pool.rs
+++ b/crates/gullspar_target/src/target_pool.rs
@@ -4,14 +4,17 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use gullspar_border::{Clock, Dialer, within};
-use gullspar_model::{MemberSpec, NotRun};
-use gullspar_wire::{QueryClient, WireError};
+use gullspar_model::{Access, MemberSpec, NotRun};
+use gullspar_wire::{LaneUnit, QueryClient, WireError};
 
 use crate::{Admission, Permit, TargetConnection};
 
+/// How long a connection counts as being there after it served.
+const TRUSTED_FOR: Duration = Duration::from_millis(20);
+
 /// Connections left for observers and promotions, out of those that a target accepts.
 const RESERVED: u32 = 6;
 
@@ -87,21 +90,27 @@
     /// Takes a connection, opening one where none is idle.
     pub(crate) async fn check_out(
         self: &Rc<Self>,
-        priority: u8,
+        head: &LaneUnit,
         deadline: Instant,
     ) -> Result<CheckedOut, NotRun> {
-        let permit = self.connections.enter(priority, deadline).await?;
-        let connection = match self.take_idle() {
+        let permit = self.connections.enter(head.priority, deadline).await?;
+        let connection = match self.take_idle(head.access) {
             Some(connection) => connection,
             None => self.open(deadline).await?,
         };
         Ok(CheckedOut { connection, pool: Rc::clone(self), _permit: permit })
     }
 
-    fn take_idle(&self) -> Option<TargetConnection> {
+    /// An idle connection that is still there.
+    ///
+    /// One that served a moment ago is not looked at again for a read, which can be repeated; the
+    /// look is a call to the system for each statement.
+    fn take_idle(&self, access: Access) -> Option<TargetConnection> {
         let mut idle = self.idle.borrow_mut();
+        let recent = self.clock.now() - TRUSTED_FOR;
         while let Some(connection) = idle.pop() {
-            if connection.channel.is_quiet() {
+            let trusted = access == Access::Read && connection.given_back_at >= recent;
+            if trusted || connection.channel.is_quiet() {
                 return Some(connection);
             }
         }
@@ -134,6 +143,7 @@
             settings: Vec::new(),
             cancel_key,
             cancelled: Rc::default(),
+            given_back_at: self.clock.now(),
         })
     }
 
@@ -144,8 +154,9 @@
 
 impl CheckedOut {
     /// Gives the connection back for the next caller.
-    pub(crate) fn give_back(self) {
+    pub(crate) fn give_back(mut self) {
         if self.connection.is_clean() {
+            self.connection.given_back_at = self.pool.clock.now();
             self.pool.idle.borrow_mut().push(self.connection);
         }
     }
