--- /dev/null
+++ b/crates/gullspar/tests/documents.rs
@@ -0,0 +1,115 @@
+//! Pages that must agree with the code.
+
+#![allow(clippy::unwrap_used, reason = "a test that can't go on must fail")]
+
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+
+use gullspar_lab::LabSettings;
+use gullspar_settings::{InstanceSettings, reference};
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn sources(folder: &Path, out: &mut Vec<PathBuf>) {
+    for entry in std::fs::read_dir(folder).unwrap().flatten() {
+        let path = entry.path();
+        if path.is_dir() {
+            sources(&path, out);
+        } else if path.extension().is_some_and(|it| it == "rs") {
+            out.push(path);
+        }
+    }
+}
+
+/// Event numbers that begin a log message: a quote, a letter and four digits.
+fn events_in_code() -> BTreeSet<String> {
+    let mut files = Vec::new();
+    for package in std::fs::read_dir(root().join("crates")).unwrap().flatten() {
+        sources(&package.path().join("src"), &mut files);
+    }
+    let mut events = BTreeSet::new();
+    for file in files {
+        let text = std::fs::read_to_string(file).unwrap();
+        for (at, _) in text.match_indices('"') {
+            let Some(word) = text.get(at + 1..at + 6) else { continue };
+            let (letter, digits) = word.split_at(1);
+            let numbered = digits.bytes().all(|it| it.is_ascii_digit());
+            if matches!(letter, "G" | "L") && numbered {
+                events.insert(word.to_owned());
+            }
+        }
+    }
+    events
+}
+
+#[test]
+fn every_log_event_is_in_the_catalogue_and_no_other() {
+    let page = std::fs::read_to_string(root().join("docs/log-events.md")).unwrap();
+    let listed: BTreeSet<String> = page
+        .lines()
+        .filter_map(|it| it.strip_prefix("| "))
+        .filter_map(|it| it.get(..5))
+        .filter(|it| it.starts_with(['G', 'L']) && it[1..].bytes().all(|it| it.is_ascii_digit()))
+        .map(str::to_owned)
+        .collect();
+    let used = events_in_code();
+    assert!(used.len() > 20, "the code was searched in vain");
+    assert_eq!(listed, used);
+}
+
+#[test]
+fn every_log_call_carries_a_number() {
+    let mut files = Vec::new();
+    for package in std::fs::read_dir(root().join("crates")).unwrap().flatten() {
+        sources(&package.path().join("src"), &mut files);
+    }
+    for file in files {
+        let text = std::fs::read_to_string(&file).unwrap();
+        for (at, _) in text.match_indices("log::") {
+            let call = &text[at..];
+            let Some((level, rest)) = call["log::".len()..].split_once("!(") else { continue };
+            if !["error", "warn", "info", "debug", "trace"].contains(&level) {
+                continue;
+            }
+            let message = rest.trim_start().strip_prefix('"').unwrap_or("");
+            let numbered = message.starts_with(['G', 'L'])
+                && message[1..5].bytes().all(|it| it.is_ascii_digit());
+            assert!(numbered, "{}: log::{level} without a number", file.display());
+        }
+    }
+}
+
+#[test]
+fn the_settings_page_is_the_one_generated() {
+    let page = std::fs::read_to_string(root().join("docs/settings.md")).unwrap();
+    let generated = reference("Settings of an instance", &InstanceSettings::options());
+    assert_eq!(page, generated, "run: cargo run -p gullspar -- settings > docs/settings.md");
+}
+
+#[test]
+fn the_labs_files_are_sound() {
+    for name in ["midshire", "kahurangi"] {
+        let text = std::fs::read_to_string(root().join(format!("labs/{name}.jsonc"))).unwrap();
+        let settings = LabSettings::parse(name, &text).unwrap();
+        assert_eq!(settings.services.len(), 3);
+    }
+}
+
+#[test]
+fn pages_link_to_what_is_there() {
+    let mut pages = vec![root().join("README.md"), root().join("CONTRIBUTING.md")];
+    for folder in ["docs", "docs/design"] {
+        let entries = std::fs::read_dir(root().join(folder)).unwrap().flatten();
+        pages.extend(entries.map(|it| it.path()).filter(|it| it.extension().is_some()));
+    }
+    for page in pages {
+        let text = std::fs::read_to_string(&page).unwrap();
+        for link in text.split("](").skip(1).filter_map(|it| it.split_once(')')) {
+            let target = link.0.split('#').next().unwrap();
+            let there = page.parent().unwrap().join(target).exists();
+            assert!(there, "{}: {target} is not there", page.display());
+        }
+    }
+}
--- a/crates/gullspar_bench/src/trivial_target.rs
+++ b/crates/gullspar_bench/src/trivial_target.rs
@@ -10,7 +10,7 @@
 use gullspar_wire::{Channel, Frame, WireError, caller, command_complete, ready, status, target};
 
 /// How a status call begins; its arguments follow.
-const STATUS_PREFIX: &str = "SELECT * FROM group_status";
+const STATUS_PREFIX: &str = "SELECT group_status";
 
 /// A target that leads or follows term 1 and answers every statement with the same row.
 pub struct TrivialTarget {
@@ -55,7 +55,7 @@
     row.extend_from_slice(ready(status::IDLE).bytes());
     let role = if primary { "primary" } else { "replica" };
     let mut state = BytesMut::new();
-    state.extend_from_slice(data_row(&[role, "1", "1", "1", "1"]).bytes());
+    state.extend_from_slice(data_row(&[&format!("({role},1,1,1,1)")]).bytes());
     state.extend_from_slice(command_complete("SELECT 1").bytes());
     state.extend_from_slice(ready(status::IDLE).bytes());
     loop {
--- a/crates/gullspar_caller/src/session.rs
+++ b/crates/gullspar_caller/src/session.rs
@@ -6,7 +6,7 @@
 use bytes::{BufMut, BytesMut};
 use event_listener::EventListener;
 use futures::future::{self, Either};
-use gullspar_model::{Access, NotRun, Outcome, TargetKey, Token, Unknown};
+use gullspar_model::{Access, Guard, NotRun, Outcome, TargetKey, Token, Unknown};
 use gullspar_target::{Canceller, Unit};
 use gullspar_wire::{
     Channel, ErrorReport, Frame, LaneRequirement, LaneUnit, WireError, caller, command_complete,
@@ -305,10 +305,12 @@
     fn unit(&mut self, req: &Request, plan: &Plan) -> Unit {
         let state = &mut self.state;
         let marked = req.statements.first().and_then(|it| it.request_key.clone());
-        let request_key = marked.or_else(|| {
-            // The key given by SET goes with the next request that can commit.
-            if plan.commits { state.request_key.take() } else { None }
-        });
+        let request_key = marked
+            .or_else(|| {
+                // The key given by SET goes with the next request that can commit.
+                if plan.commits { state.request_key.take() } else { None }
+            })
+            .filter(|_| Guard::RequestKey.holds());
         let continues = state.continues();
         let on_primary = match &state.held {
             Some(held) if continues => held.on_primary,
--- a/crates/gullspar_caller/src/session_state.rs
+++ b/crates/gullspar_caller/src/session_state.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use gullspar_model::{
-    CallerClass, CallerName, Consistency, InstanceId, LogPoint, MemberName, ServiceName,
+    CallerClass, CallerName, Consistency, Guard, InstanceId, LogPoint, MemberName, ServiceName,
     ServiceObject,
 };
 use gullspar_target::Lane;
@@ -71,7 +71,9 @@
 
     /// Whether the next read must first learn how far the caller's earlier writes went.
     pub(crate) fn needs_anchor(&self) -> bool {
-        self.class.consistency == Consistency::ReadYourWrites && !self.anchored
+        self.class.consistency == Consistency::ReadYourWrites
+            && !self.anchored
+            && Guard::Anchor.holds()
     }
 
     /// Time within which a request must be answered.
--- a/crates/gullspar_fleet/src/config_store.rs
+++ b/crates/gullspar_fleet/src/config_store.rs
@@ -6,7 +6,7 @@
 
 use event_listener::{Event, EventListener};
 use gullspar_border::{ConfigEntry, ObjectVersion};
-use gullspar_model::{GroupName, GroupObject, ServiceName, ServiceObject};
+use gullspar_model::{GroupName, GroupObject, Guard, ServiceName, ServiceObject};
 
 use crate::weight;
 
@@ -24,10 +24,17 @@
     pub object: Rc<GroupObject>,
 }
 
+/// An object in force. A service's text is not kept beside it: written anew where another instance asks,
+/// it is the same, since a service with fields that are not known is not applied.
+struct Entry {
+    version: ObjectVersion,
+    text: Option<String>,
+}
+
 /// Objects applied so far, each only ever upward.
 #[derive(Default)]
 pub struct ConfigStore {
-    entries: RefCell<BTreeMap<String, ConfigEntry>>,
+    entries: RefCell<BTreeMap<String, Entry>>,
     services: RefCell<BTreeMap<ServiceName, VersionedService>>,
     groups: RefCell<BTreeMap<GroupName, VersionedGroup>>,
     digest: Cell<u64>,
@@ -42,7 +49,7 @@
     /// versions.
     pub fn apply(&self, entry: &ConfigEntry) -> bool {
         let known = self.version(&entry.key);
-        if entry.version <= known {
+        if entry.version <= known && Guard::UpwardOnly.holds() {
             return false;
         }
         if let Err(err) = self.take(entry) {
@@ -53,7 +60,10 @@
         let mark = |version: ObjectVersion| weight(&entry.key, &version.0.to_string());
         let removed = if known == ObjectVersion::default() { 0 } else { mark(known) };
         self.digest.set(self.digest.get() ^ removed ^ mark(entry.version));
-        self.entries.borrow_mut().insert(entry.key.clone(), entry.clone());
+        let service = entry.key.starts_with(ServiceObject::PREFIX);
+        let text = (!service).then(|| entry.value.clone());
+        let kept = Entry { version: entry.version, text };
+        self.entries.borrow_mut().insert(entry.key.clone(), kept);
         self.changed.notify(usize::MAX);
         true
     }
@@ -99,7 +109,7 @@
 
     /// Keys and versions of all objects.
     pub fn versions(&self) -> Vec<(String, ObjectVersion)> {
-        self.entries.borrow().values().map(|it| (it.key.clone(), it.version)).collect()
+        self.entries.borrow().iter().map(|(key, it)| (key.clone(), it.version)).collect()
     }
 
     /// The objects that are newer here than in `known`.
@@ -108,9 +118,20 @@
             known.iter().map(|(key, version)| (key.as_str(), *version)).collect();
         let entries = self.entries.borrow();
         let newer = entries
-            .values()
-            .filter(|it| known.get(it.key.as_str()).is_none_or(|version| *version < it.version));
-        newer.cloned().collect()
+            .iter()
+            .filter(|(key, it)| known.get(key.as_str()).is_none_or(|known| *known < it.version));
+        newer.filter_map(|(key, it)| self.written(key, it)).collect()
+    }
+
+    fn written(&self, key: &str, entry: &Entry) -> Option<ConfigEntry> {
+        let value = match &entry.text {
+            Some(text) => text.clone(),
+            None => {
+                let name = ServiceName::new(key.strip_prefix(ServiceObject::PREFIX)?);
+                serde_json::to_string(&*self.service(&name)?.object).ok()?
+            }
+        };
+        Some(ConfigEntry { key: key.to_owned(), version: entry.version, value })
     }
 
     /// Notified at each change; take it before reading, so that no change is missed.
--- a/crates/gullspar_fleet/src/config_sync.rs
+++ b/crates/gullspar_fleet/src/config_sync.rs
@@ -54,8 +54,8 @@
     /// Whether this instance watches the platform for its data centre.
     pub fn is_relay(&self) -> bool {
         let own = self.data_centre();
-        let ranked = self.rank(RELAY_KEY, &own);
-        ranked.iter().take(RELAYS).any(|it| it.id == self.id())
+        let relays = self.first(RELAYS, RELAY_KEY, &own);
+        relays.iter().any(|it| it.id == self.id())
     }
 
     fn take_watched(self: &Rc<Self>, reply: WatchReply) {
@@ -90,14 +90,8 @@
         let data_centres: BTreeSet<DataCentre> =
             self.instances().into_iter().map(|it| it.data_centre).filter(|it| *it != own).collect();
         let relays = data_centres.iter().flat_map(|data_centre| {
-            let ranked = self.rank(RELAY_KEY, data_centre);
-            let near: Vec<SocketAddr> = ranked
-                .iter()
-                .filter(|it| it.data_centre == *data_centre)
-                .take(RELAYS)
-                .map(|it| it.peer)
-                .collect();
-            near
+            let relays = self.first(RELAYS, RELAY_KEY, data_centre);
+            relays.into_iter().filter(|it| it.data_centre == *data_centre).map(|it| it.peer)
         });
         self.push(relays.collect(), &entries, true);
     }
--- a/crates/gullspar_fleet/src/fleet.rs
+++ b/crates/gullspar_fleet/src/fleet.rs
@@ -10,7 +10,7 @@
 use gullspar_model::{DataCentre, InstanceId, InstanceRecord, InstanceState, TargetKey};
 
 use crate::member_table::MemberTable;
-use crate::{ConfigStore, FleetTiming, RankedInstances};
+use crate::{ConfigStore, FleetTiming, weight};
 
 /// The borders that an instance meets the world through.
 #[derive(Clone)]
@@ -22,10 +22,19 @@
     pub platform: Rc<dyn Platform>,
 }
 
-struct CachedRank {
+/// The home of a target, for as long as the instances stay the same.
+struct CachedHome {
     generation: u64,
     data_centre: DataCentre,
-    ranked: Rc<Vec<InstanceRecord>>,
+    home: Option<Rc<InstanceRecord>>,
+}
+
+/// The instances that take work, by data centre.
+#[derive(Default)]
+struct LiveIndex {
+    generation: u64,
+    near: HashMap<DataCentre, Rc<Vec<Rc<InstanceRecord>>>>,
+    all: Rc<Vec<Rc<InstanceRecord>>>,
 }
 
 /// How long an instance looks for others before it acts alone.
@@ -42,7 +51,8 @@
     pub(crate) heard_of_others: Cell<bool>,
     /// When an instance that heard of no other takes itself for the only one.
     alone_from: Instant,
-    ranks: RefCell<HashMap<TargetKey, CachedRank>>,
+    homes: RefCell<HashMap<TargetKey, CachedHome>>,
+    live: RefCell<LiveIndex>,
     changed: Event,
     /// Apart from `changed`, because every idle session waits for it.
     leaving: Event,
@@ -69,7 +79,8 @@
             borders,
             timing,
             seeds,
-            ranks: RefCell::default(),
+            homes: RefCell::default(),
+            live: RefCell::default(),
             changed: Event::new(),
             leaving: Event::new(),
             config: ConfigStore::default(),
@@ -121,37 +132,57 @@
         self.table.borrow().all().filter(|it| it.takes_work()).count()
     }
 
-    /// The instances that take work, in the order in which they would hold `target`.
-    pub fn ranked(&self, target: &TargetKey, data_centre: &DataCentre) -> Rc<Vec<InstanceRecord>> {
-        let generation = self.generation();
-        if let Some(cached) = self.ranks.borrow().get(target)
-            && cached.generation == generation
-            && cached.data_centre == *data_centre
-        {
-            return Rc::clone(&cached.ranked);
+    /// The instances that could hold something in `data_centre`: those there, or all where none is.
+    ///
+    /// Kept by data centre: looking through the whole fleet for each target would take seconds of
+    /// processor time at every change of instances.
+    fn candidates(&self, data_centre: &DataCentre) -> Rc<Vec<Rc<InstanceRecord>>> {
+        let mut live = self.live.borrow_mut();
+        let table = self.table.borrow();
+        if live.generation != table.generation {
+            *live = LiveIndex::new(&table);
         }
-        let ranked = Rc::new(self.rank(&target.to_string(), data_centre));
-        let cached =
-            CachedRank { generation, data_centre: data_centre.clone(), ranked: Rc::clone(&ranked) };
-        self.ranks.borrow_mut().insert(target.clone(), cached);
+        let near = live.near.get(data_centre);
+        Rc::clone(near.unwrap_or(&live.all))
+    }
+
+    /// The `count` first instances by rank for `key`.
+    pub(crate) fn first(
+        &self,
+        count: usize,
+        key: &str,
+        data_centre: &DataCentre,
+    ) -> Vec<Rc<InstanceRecord>> {
+        let mut ranked = self.candidates(data_centre).to_vec();
+        ranked.sort_by_cached_key(|it| std::cmp::Reverse(weight(key, it.id.as_str())));
+        ranked.truncate(count);
         ranked
     }
 
-    /// The instances that take work, ranked for any key.
-    pub(crate) fn rank(&self, key: &str, data_centre: &DataCentre) -> Vec<InstanceRecord> {
-        let table = self.table.borrow();
-        let live = table.all().filter(|it| it.takes_work()).cloned();
-        RankedInstances::rank(key, data_centre, live)
-    }
-
     /// Counts up whenever what is known of the instances changes.
     pub fn generation(&self) -> u64 {
         self.table.borrow().generation
     }
 
     /// The instance that holds the connections of `target`.
-    pub fn home(&self, target: &TargetKey, data_centre: &DataCentre) -> Option<InstanceRecord> {
-        self.ranked(target, data_centre).first().cloned()
+    ///
+    /// An instance of the target's data centre, by rendezvous hashing; where none is left there, one
+    /// of all, so that the target is still served, over the longer way.
+    pub fn home(&self, target: &TargetKey, data_centre: &DataCentre) -> Option<Rc<InstanceRecord>> {
+        let generation = self.generation();
+        if let Some(cached) = self.homes.borrow().get(target)
+            && cached.generation == generation
+            && cached.data_centre == *data_centre
+        {
+            return cached.home.clone();
+        }
+        let key = target.to_string();
+        let candidates = self.candidates(data_centre);
+        let home = candidates.iter().max_by_key(|it| weight(&key, it.id.as_str())).cloned();
+        let cached =
+            CachedHome { generation, data_centre: data_centre.clone(), home: home.clone() };
+        self.homes.borrow_mut().insert(target.clone(), cached);
+        home
     }
 
     /// Whether this instance may act as a home.
@@ -165,9 +196,19 @@
 
     /// Whether this instance holds the connections of `target`.
     pub fn is_home(&self, target: &TargetKey, data_centre: &DataCentre) -> bool {
-        let ranked = self.ranked(target, data_centre);
-        let first = ranked.first().is_some_and(|it| it.id == self.own.borrow().id);
-        first && self.has_joined()
+        if !self.has_joined() || !self.may_hold(data_centre) {
+            return false;
+        }
+        let home = self.home(target, data_centre);
+        home.is_some_and(|it| it.id == self.own.borrow().id)
+    }
+
+    /// Whether anything in `data_centre` can be this instance's; most of a large fleet's targets are
+    /// told apart by this alone.
+    fn may_hold(&self, data_centre: &DataCentre) -> bool {
+        let own = self.own.borrow();
+        own.data_centre == *data_centre
+            || self.candidates(data_centre).first().is_none_or(|it| it.data_centre != *data_centre)
     }
 
     /// Notified once, when this instance begins to shut down.
@@ -194,3 +235,19 @@
         news
     }
 }
+
+impl LiveIndex {
+    fn new(table: &MemberTable) -> LiveIndex {
+        let all: Vec<Rc<InstanceRecord>> =
+            table.all().filter(|it| it.takes_work()).cloned().map(Rc::new).collect();
+        let mut near: HashMap<DataCentre, Vec<Rc<InstanceRecord>>> = HashMap::new();
+        for record in &all {
+            near.entry(record.data_centre.clone()).or_default().push(Rc::clone(record));
+        }
+        LiveIndex {
+            generation: table.generation,
+            near: near.into_iter().map(|(place, records)| (place, Rc::new(records))).collect(),
+            all: Rc::new(all),
+        }
+    }
+}
--- a/crates/gullspar_fleet/src/lib.rs
+++ b/crates/gullspar_fleet/src/lib.rs
@@ -13,5 +13,5 @@
 
 pub use config_store::{ConfigStore, VersionedGroup, VersionedService};
 pub use fleet::{Borders, Fleet};
-pub use rank::{RankedInstances, weight};
+pub use rank::weight;
 pub use timing::FleetTiming;
--- a/crates/gullspar_group/src/group_watch.rs
+++ b/crates/gullspar_group/src/group_watch.rs
@@ -9,7 +9,8 @@
 use gullspar_border::{PrimaryView, within};
 use gullspar_fleet::{Borders, Fleet};
 use gullspar_model::{
-    GroupName, GroupSpec, LogPoint, LogPosition, MemberName, MemberStatus, NotRun, Term, Unknown,
+    GroupName, GroupSpec, Guard, LogPoint, LogPosition, MemberName, MemberStatus, NotRun, Term,
+    Unknown,
 };
 
 use crate::{GroupTiming, MemberView, Reading, ReadingHistory};
@@ -238,6 +239,9 @@
 
     /// Whether a majority holds the log of `term` up to `position`.
     pub fn is_acknowledged(&self, term: Term, position: LogPosition) -> bool {
+        if !Guard::MajorityHolds.holds() {
+            return true;
+        }
         let holding = self
             .views
             .borrow()
@@ -301,7 +305,7 @@
     ) -> Result<(), NotRun> {
         self.wait_until(deadline, || {
             let status = self.view(member).and_then(|it| it.status)?;
-            if floor.is_some_and(|it| !status.covers(it)) {
+            if floor.is_some_and(|it| !status.covers(it)) && Guard::Floor.holds() {
                 return None;
             }
             let Some(max_age) = max_age else { return Some(Ok(())) };
--- a/crates/gullspar_group/src/promotion.rs
+++ b/crates/gullspar_group/src/promotion.rs
@@ -7,7 +7,7 @@
 use futures::stream::FuturesUnordered;
 use gullspar_border::{ConfigEntry, ObjectVersion, PlatformError, within};
 use gullspar_model::{
-    GroupObject, LogPoint, MemberName, MemberSpec, MemberStatus, Term, TermStart,
+    GroupObject, Guard, LogPoint, MemberName, MemberSpec, MemberStatus, Term, TermStart,
 };
 use quick_error::quick_error;
 
@@ -250,7 +250,12 @@
 
 /// The member with the longest log, a leaving one only where no other is as long.
 fn most_advanced(fenced: Vec<FencedMember>) -> Option<(FencedMember, LogPoint)> {
-    let best = fenced.into_iter().max_by_key(|it| (it.status.log_end(), !it.spec.leaving))?;
+    let rank = |it: &FencedMember| (it.status.log_end(), !it.spec.leaving);
+    let best = if Guard::LongestLog.holds() {
+        fenced.into_iter().max_by_key(rank)?
+    } else {
+        fenced.into_iter().min_by_key(rank)?
+    };
     let end = best.status.log_end();
     Some((best, end))
 }
--- a/crates/gullspar_group/src/suspicion.rs
+++ b/crates/gullspar_group/src/suspicion.rs
@@ -6,7 +6,7 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use gullspar_border::{PeerReply, PeerRequest, PrimaryView};
-use gullspar_model::{GroupObject, InstanceId, InstanceRecord, MemberRole, TargetKey};
+use gullspar_model::{GroupObject, Guard, InstanceId, InstanceRecord, MemberRole, TargetKey};
 
 use crate::{GroupWatch, Leader, Promotion, TargetControl};
 
@@ -138,7 +138,8 @@
     }
 
     fn turn(&self) -> u32 {
-        let mut homes: Vec<InstanceId> = self.member_homes().into_iter().map(|it| it.id).collect();
+        let mut homes: Vec<InstanceId> =
+            self.member_homes().iter().map(|it| it.id.clone()).collect();
         homes.dedup();
         homes.sort_by_cached_key(|it| gullspar_fleet::weight(self.name.as_str(), it.as_str()));
         homes.dedup();
@@ -147,7 +148,7 @@
     }
 
     /// The home of each member, in the order of the members.
-    pub(crate) fn member_homes(&self) -> Vec<InstanceRecord> {
+    pub(crate) fn member_homes(&self) -> Vec<Rc<InstanceRecord>> {
         let spec = self.spec();
         let homes = spec.members.iter().filter_map(|it| {
             let key = TargetKey::new(&self.name, &it.name);
@@ -167,6 +168,10 @@
             return true;
         }
         let Some(leader) = self.leader() else { return false };
+        if !Guard::FreshCall.holds() {
+            let deadline = self.now() + VIEWS_WITHIN;
+            return self.majority_agrees(&leader, deadline).await;
+        }
         if !self.majority_reachable() {
             return false;
         }
@@ -201,7 +206,7 @@
         let majority = self.spec.borrow().majority();
         let votes_of = |id: &InstanceId| homes.iter().filter(|it| it.id == *id).count();
         let mut votes = votes_of(&own);
-        let mut asked: Vec<&InstanceRecord> = homes.iter().filter(|it| it.id != own).collect();
+        let mut asked: Vec<&Rc<InstanceRecord>> = homes.iter().filter(|it| it.id != own).collect();
         asked.sort_by(|one, other| one.id.cmp(&other.id));
         asked.dedup_by(|one, other| one.id == other.id);
         let mut calls: FuturesUnordered<_> = asked
--- a/crates/gullspar_group/src/target_control.rs
+++ b/crates/gullspar_group/src/target_control.rs
@@ -42,7 +42,7 @@
 }
 
 /// Asks a target for its status without waiting.
-pub const STATUS_NOW: &str = "SELECT * FROM group_status(0, 0, 0, 0)";
+pub const STATUS_NOW: &str = "SELECT group_status(0, 0, 0, 0)";
 
 /// A control connection to one target.
 pub struct TargetControl {
@@ -89,7 +89,7 @@
             Some(known) => {
                 let position = if wake_on_position { known.position.0 } else { NEVER };
                 format!(
-                    "SELECT * FROM group_status({}, {}, {position}, {wait_ms})",
+                    "SELECT group_status({}, {}, {position}, {wait_ms})",
                     known.term.0, known.fence.0
                 )
             }
@@ -103,7 +103,7 @@
         term: Term,
         deadline: Instant,
     ) -> Result<MemberStatus, TargetError> {
-        self.call(&format!("SELECT * FROM group_fence({})", term.0), deadline).await
+        self.call(&format!("SELECT group_fence({})", term.0), deadline).await
     }
 
     /// Makes the target the primary of a term that it was fenced at.
@@ -112,7 +112,7 @@
         term: Term,
         deadline: Instant,
     ) -> Result<MemberStatus, TargetError> {
-        self.call(&format!("SELECT * FROM group_promote({})", term.0), deadline).await
+        self.call(&format!("SELECT group_promote({})", term.0), deadline).await
     }
 
     /// Makes the target follow the primary of a term, dropping what that one doesn't have.
@@ -122,7 +122,7 @@
         primary: &MemberName,
         deadline: Instant,
     ) -> Result<MemberStatus, TargetError> {
-        let sql = format!("SELECT * FROM group_follow({}, '{primary}')", term.0);
+        let sql = format!("SELECT group_follow({}, '{primary}')", term.0);
         self.call(&sql, deadline).await
     }
 
@@ -136,19 +136,23 @@
     }
 }
 
-/// Reads the row that every control function answers with.
+/// Reads the row that every control function answers with: one composite value, as
+/// `(primary,3,3,3,417)`. One column keeps the answers short; they are most of what control costs.
 pub fn read_status(row: &QueryRow) -> Option<MemberStatus> {
-    let number = |index: usize| row.get(index)?.as_deref()?.parse::<u64>().ok();
-    let role = match row.first()?.as_deref()? {
+    let text = row.first()?.as_deref()?.strip_prefix('(')?.strip_suffix(')')?;
+    let mut fields = text.split(',');
+    let role = match fields.next()? {
         "primary" => MemberRole::Primary,
         "replica" => MemberRole::Replica,
-        _ => MemberRole::Detached,
+        "detached" => MemberRole::Detached,
+        _ => return None,
     };
+    let mut number = || fields.next()?.parse::<u64>().ok();
     Some(MemberStatus {
         role,
-        term: Term(number(1)?),
-        fence: Term(number(2)?),
-        last_record_term: Term(number(3)?),
-        position: LogPosition(number(4)?),
+        term: Term(number()?),
+        fence: Term(number()?),
+        last_record_term: Term(number()?),
+        position: LogPosition(number()?),
     })
 }
--- a/crates/gullspar_instance/src/instance.rs
+++ b/crates/gullspar_instance/src/instance.rs
@@ -18,7 +18,7 @@
 use gullspar_net::{
     HttpPlatform, SystemClock, SystemEntropy, TarpcPeers, TcpDialer, TcpLink, serve_peers,
 };
-use gullspar_operator::Operator;
+use gullspar_operator::{MetricsError, Operator};
 use gullspar_settings::InstanceSettings;
 use gullspar_target::{ActiveLanes, Lanes, Pools, serve_lanes};
 use quick_error::quick_error;
@@ -38,6 +38,12 @@
             source(err)
             display("`{option}`: can't listen on {address}: {err}")
         }
+        /// Metrics could not be set up.
+        Metrics(err: MetricsError) {
+            from()
+            source(err)
+            display("{err}")
+        }
     }
 }
 
@@ -112,7 +118,7 @@
             compio::runtime::spawn(accept_lanes(lanes, Rc::clone(&parts), secret)),
             compio::runtime::spawn(accept_callers(callers, Rc::clone(&parts.callers))),
         ];
-        let operator = Operator::new(Rc::clone(&parts.fleet), Rc::clone(&parts) as _);
+        let operator = Operator::new(Rc::clone(&parts.fleet), Rc::clone(&parts) as _)?;
         let serve = cyper_axum::serve(operators, gullspar_operator::router(operator));
         tasks.push(compio::runtime::spawn(async move {
             if let Err(err) = serve.await {
--- a/crates/gullspar_lab/src/group/control.rs
+++ b/crates/gullspar_lab/src/group/control.rs
@@ -9,7 +9,7 @@
 use super::Members;
 use super::sql_result::{SqlColumn, SqlResult};
 use crate::group::session::SqlError;
-use crate::group::session::value::SqlValue;
+use crate::group::session::value::{SqlValue, type_id};
 
 /// A call of one of the control functions.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -33,7 +33,7 @@
     },
 }
 
-const PREFIX: &str = "SELECT * FROM group_";
+const PREFIX: &str = "SELECT group_";
 
 impl ControlCall {
     /// Recognises a call by its text.
@@ -126,11 +126,13 @@
         MemberRole::Replica => "replica",
         MemberRole::Detached => "detached",
     };
-    let numbers = [status.term.0, status.fence.0, status.last_record_term.0, status.position.0];
-    let mut row = vec![SqlValue::Text(role.to_owned())];
-    row.extend(numbers.iter().map(|it| SqlValue::Integer(*it as i64)));
-    let names = ["role", "term", "fence", "last_record_term", "position"];
-    let columns =
-        names.iter().map(|it| SqlColumn { name: (*it).to_owned(), type_id: 25 }).collect();
-    SqlResult { columns, rows: vec![row], tag: "SELECT 1".to_owned() }
+    let row = format!(
+        "({role},{},{},{},{})",
+        status.term.0, status.fence.0, status.last_record_term.0, status.position.0
+    );
+    SqlResult {
+        columns: vec![SqlColumn { name: "status".to_owned(), type_id: type_id::TEXT }],
+        rows: vec![vec![SqlValue::Text(row)]],
+        tag: "SELECT 1".to_owned(),
+    }
 }
--- a/crates/gullspar_lab/tests/operators.rs
+++ b/crates/gullspar_lab/tests/operators.rs
@@ -148,3 +148,21 @@
         assert_eq!(written.error, None);
     });
 }
+
+#[test]
+fn prometheus_reads_the_metrics() {
+    let lab = LabUnderTest::small();
+    run(async {
+        let mut client = lab.connect(0, "any").await;
+        client.query("SELECT id FROM doors").await.unwrap();
+        let address = operator(&lab, 0);
+        let http = cyper::Client::new().unwrap();
+        let response = http.get(format!("http://{address}/metrics")).unwrap().send().await.unwrap();
+        let page = response.text().await.unwrap();
+        assert!(page.contains("# TYPE gullspar_requests_total counter"), "{page}");
+        let done = page.lines().find(|it| {
+            it.starts_with("gullspar_requests_total{") && it.contains("outcome=\"done\"")
+        });
+        assert!(done.is_some_and(|it| it.ends_with(" 1")), "{page}");
+    });
+}
--- a/crates/gullspar_model/src/lib.rs
+++ b/crates/gullspar_model/src/lib.rs
@@ -8,6 +8,7 @@
 mod fence;
 mod group_object;
 mod group_spec;
+mod guard;
 mod instance_record;
 mod log_point;
 mod member_spec;
@@ -25,6 +26,9 @@
 pub use fence::FenceDecision;
 pub use group_object::{GroupObject, TermStart};
 pub use group_spec::GroupSpec;
+pub use guard::Guard;
+#[cfg(feature = "guard_switches")]
+pub use guard::switches;
 pub use instance_record::{InstanceRecord, InstanceState};
 pub use log_point::{LogPoint, LogPosition, Term};
 pub use member_spec::MemberSpec;
--- a/crates/gullspar_model/src/token_key.rs
+++ b/crates/gullspar_model/src/token_key.rs
@@ -3,7 +3,7 @@
 use hmac::Mac;
 use quick_error::quick_error;
 
-use crate::{CallerName, GroupName, LogPoint, Token};
+use crate::{CallerName, GroupName, Guard, LogPoint, Token};
 
 quick_error! {
     /// Why a token was refused.
@@ -47,7 +47,7 @@
         let position = parts.next().and_then(|it| it.parse().ok()).ok_or(TokenError::Malformed)?;
         let term = parts.next().and_then(|it| it.parse().ok()).ok_or(TokenError::Malformed)?;
         let group = parts.next().ok_or(TokenError::Malformed)?;
-        if self.sign(body, caller) != signature {
+        if self.sign(body, caller) != signature && Guard::TokenSignature.holds() {
             return Err(TokenError::Forged);
         }
         Ok(Token { group: GroupName::new(group), point: LogPoint::new(term, position) })
--- a/crates/gullspar_operator/src/http.rs
+++ b/crates/gullspar_operator/src/http.rs
@@ -10,7 +10,7 @@
 use compio_send_wrapper::SendWrapper;
 use gullspar_model::record;
 
-use crate::{Change, ConfirmError, Intent, Operator, Plan, PlanError, metrics};
+use crate::{Change, ConfirmError, Intent, Operator, Plan, PlanError};
 
 type Shared = SendWrapper<Rc<Operator>>;
 
@@ -94,5 +94,10 @@
 
 async fn serve_metrics(State(operator): State<Shared>) -> Response {
     let operator = operator.take();
-    metrics::prometheus(&operator.own.report()).into_response()
+    match operator.metrics.page(operator.own.report()) {
+        Ok(page) => page.into_response(),
+        Err(err) => {
+            failure(StatusCode::INTERNAL_SERVER_ERROR, err.to_string(), Vec::new(), Vec::new())
+        }
+    }
 }
--- a/crates/gullspar_operator/src/metrics.rs
+++ b/crates/gullspar_operator/src/metrics.rs
@@ -1,22 +1,164 @@
-//! Metrics as Prometheus reads them.
+//! Metrics by OpenTelemetry, as Prometheus reads them.
 
-use std::fmt::Write;
+use std::sync::{Arc, Mutex, PoisonError};
 
-use gullspar_border::InstanceReport;
+use gullspar_border::{InstanceReport, MemberReport, OutcomeCount};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{AsyncInstrument, Meter, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+use quick_error::quick_error;
 
-/// Writes an instance's report as Prometheus text.
-pub(crate) fn prometheus(report: &InstanceReport) -> String {
-    let mut page = String::new();
-    gauge(&mut page, "gullspar_callers", "Callers connected.", "", report.callers);
+quick_error! {
+    /// Why metrics can't be served.
+    #[derive(Debug)]
+    pub enum MetricsError {
+        /// The exporter could not be made.
+        Exporter(reason: String) {
+            display("the metrics exporter failed: {reason}")
+        }
+    }
+}
+
+/// The report that instruments read; instruments may be read on any thread, the instance's state may not.
+type Snapshot = Arc<Mutex<Option<InstanceReport>>>;
+
+/// The instruments and what they read.
+pub(crate) struct Metrics {
+    snapshot: Snapshot,
+    registry: Registry,
+    /// Instruments live as long as their provider.
+    _provider: SdkMeterProvider,
+}
+
+impl Metrics {
+    /// Makes all instruments.
+    pub(crate) fn new() -> Result<Metrics, MetricsError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()
+            .map_err(|err| MetricsError::Exporter(err.to_string()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let snapshot = Snapshot::default();
+        instruments(&provider.meter("gullspar"), &snapshot);
+        Ok(Metrics { snapshot, registry, _provider: provider })
+    }
+
+    /// Writes `report` as Prometheus text.
+    pub(crate) fn page(&self, report: InstanceReport) -> Result<String, MetricsError> {
+        *self.snapshot.lock().unwrap_or_else(PoisonError::into_inner) = Some(report);
+        let mut page = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut page)
+            .map_err(|err| MetricsError::Exporter(err.to_string()))?;
+        Ok(String::from_utf8_lossy(&page).into_owned())
+    }
+}
+
+fn instruments(meter: &Meter, snapshot: &Snapshot) {
+    gauge(meter, snapshot, "gullspar_callers", "Callers connected.", |report, observe| {
+        observe(report.callers, &[]);
+    });
     gauge(
-        &mut page,
+        meter,
+        snapshot,
         "gullspar_live_instances",
         "Instances that take work.",
-        "",
-        report.live_instances,
+        |report, observe| {
+            observe(report.live_instances, &[]);
+        },
+    );
+    gauge(
+        meter,
+        snapshot,
+        "gullspar_target_connections",
+        "Connections held to a target.",
+        |report, observe| {
+            for it in held(report) {
+                observe(it.connections.into(), &target(it));
+            }
+        },
+    );
+    gauge(
+        meter,
+        snapshot,
+        "gullspar_target_queued",
+        "Requests waiting for a target.",
+        |report, observe| {
+            for it in held(report) {
+                observe(it.queued.into(), &target(it));
+            }
+        },
+    );
+    gauge(
+        meter,
+        snapshot,
+        "gullspar_target_age_ms",
+        "Most that a target's data is behind.",
+        |report, observe| {
+            for it in held(report) {
+                if let Some(age_ms) = it.age_ms {
+                    observe(age_ms, &target(it));
+                }
+            }
+        },
     );
-    page.push_str("# HELP gullspar_requests_total Requests by outcome.\n");
-    page.push_str("# TYPE gullspar_requests_total counter\n");
+    let read = Arc::clone(snapshot);
+    meter
+        .u64_observable_counter("gullspar_requests")
+        .with_description("Requests by outcome.")
+        .with_callback(move |out| with_report(&read, |report| requests(report, out)))
+        .build();
+    let read = Arc::clone(snapshot);
+    meter
+        .u64_observable_counter("gullspar_reads")
+        .with_description("Reads by the part of their target.")
+        .with_callback(move |out| with_report(&read, |report| reads(report, out)))
+        .build();
+}
+
+/// Passes on one value with its attributes.
+type Observe<'o> = &'o dyn Fn(u64, &[KeyValue]);
+
+fn gauge(
+    meter: &Meter,
+    snapshot: &Snapshot,
+    name: &'static str,
+    description: &'static str,
+    read: impl Fn(&InstanceReport, Observe<'_>) + Send + Sync + 'static,
+) {
+    let snapshot = Arc::clone(snapshot);
+    meter
+        .u64_observable_gauge(name)
+        .with_description(description)
+        .with_callback(move |out| {
+            with_report(&snapshot, |report| {
+                read(report, &|value, attributes| out.observe(value, attributes));
+            });
+        })
+        .build();
+}
+
+fn with_report(snapshot: &Snapshot, read: impl FnOnce(&InstanceReport)) {
+    if let Some(report) = &*snapshot.lock().unwrap_or_else(PoisonError::into_inner) {
+        read(report);
+    }
+}
+
+fn held(report: &InstanceReport) -> impl Iterator<Item = &MemberReport> {
+    report.members.iter().filter(|it| it.home)
+}
+
+fn target(member: &MemberReport) -> [KeyValue; 2] {
+    [
+        KeyValue::new("group", member.group.to_string()),
+        KeyValue::new("member", member.member.to_string()),
+    ]
+}
+
+fn requests(report: &InstanceReport, out: &dyn AsyncInstrument<u64>) {
     for it in &report.outcomes {
         let outcomes = [
             ("done", it.done),
@@ -25,35 +167,23 @@
             ("unknown", it.unknown),
         ];
         for (outcome, count) in outcomes {
-            let labels =
-                format!("service=\"{}\",class=\"{}\",outcome=\"{outcome}\"", it.service, it.class);
-            line(&mut page, "gullspar_requests_total", &labels, count);
+            out.observe(count, &class(it, "outcome", outcome));
         }
     }
-    page.push_str("# HELP gullspar_reads_total Reads by the part of their target.\n");
-    page.push_str("# TYPE gullspar_reads_total counter\n");
+}
+
+fn reads(report: &InstanceReport, out: &dyn AsyncInstrument<u64>) {
     for it in &report.outcomes {
         for (role, count) in [("replica", it.replica_reads), ("primary", it.primary_reads)] {
-            let labels =
-                format!("service=\"{}\",class=\"{}\",role=\"{role}\"", it.service, it.class);
-            line(&mut page, "gullspar_reads_total", &labels, count);
+            out.observe(count, &class(it, "role", role));
         }
     }
-    for it in report.members.iter().filter(|it| it.home) {
-        let labels = format!("group=\"{}\",member=\"{}\"", it.group, it.member);
-        line(&mut page, "gullspar_target_connections", &labels, it.connections.into());
-        line(&mut page, "gullspar_target_queued", &labels, it.queued.into());
-    }
-    page
-}
-
-fn gauge(page: &mut String, name: &str, help: &str, labels: &str, value: u64) {
-    // Writing to a string can't fail.
-    let _ = writeln!(page, "# HELP {name} {help}\n# TYPE {name} gauge");
-    line(page, name, labels, value);
 }
 
-fn line(page: &mut String, name: &str, labels: &str, value: u64) {
-    let labels = if labels.is_empty() { String::new() } else { format!("{{{labels}}}") };
-    let _ = writeln!(page, "{name}{labels} {value}");
+fn class(count: &OutcomeCount, name: &'static str, value: &'static str) -> [KeyValue; 3] {
+    [
+        KeyValue::new("service", count.service.clone()),
+        KeyValue::new("class", count.class.clone()),
+        KeyValue::new(name, value),
+    ]
 }
--- a/crates/gullspar_operator/src/operator.rs
+++ b/crates/gullspar_operator/src/operator.rs
@@ -6,6 +6,7 @@
 use gullspar_fleet::Fleet;
 use gullspar_model::{ServiceName, ServiceObject};
 
+use crate::metrics::{Metrics, MetricsError};
 use crate::{Change, Intent, Plan, PlanError};
 
 /// The configuration of a service as the platform has it.
@@ -18,6 +19,7 @@
 pub struct Operator {
     pub(crate) fleet: Rc<Fleet>,
     pub(crate) own: Rc<dyn OwnReports>,
+    pub(crate) metrics: Metrics,
 }
 
 /// What an instance reports of itself.
@@ -31,8 +33,8 @@
 
 impl Operator {
     /// An operator side that reports on its own instance through `own`.
-    pub fn new(fleet: Rc<Fleet>, own: Rc<dyn OwnReports>) -> Rc<Operator> {
-        Rc::new(Operator { fleet, own })
+    pub fn new(fleet: Rc<Fleet>, own: Rc<dyn OwnReports>) -> Result<Rc<Operator>, MetricsError> {
+        Ok(Rc::new(Operator { fleet, own, metrics: Metrics::new()? }))
     }
 
     pub(crate) fn key(service: &ServiceName) -> String {
