Ask a silent home for a sign of life before a write, and test pauses at each step

Symptom: in a cut-off data centre a write to the primary on the other side ended unknown, where a clear refusal was possible. Cause: the lane to its home looked sound, so the write went into the cut link. Change: a home that was not heard of for 250 ms is asked first, for writes only.

--- a/crates/gullspar_border/src/peers.rs
+++ b/crates/gullspar_border/src/peers.rs
@@ -85,6 +85,24 @@
             pub writes: u64,
         }
     }
+
+    impl OutcomeCount {
+        /// No requests so far.
+        pub fn empty(service: &str, class: &str) -> OutcomeCount {
+            OutcomeCount {
+                service: service.to_owned(),
+                class: class.to_owned(),
+                objective_ppm: 0,
+                done: 0,
+                late: 0,
+                not_run: 0,
+                unknown: 0,
+                replica_reads: 0,
+                primary_reads: 0,
+                writes: 0,
+            }
+        }
+    }
 }
 
 record! {
--- a/crates/gullspar_caller/src/lane_pool.rs
+++ b/crates/gullspar_caller/src/lane_pool.rs
@@ -19,12 +19,14 @@
 pub struct LanePool {
     lanes: Rc<Lanes>,
     idle: RefCell<HashMap<InstanceId, Vec<Box<dyn Lane>>>>,
+    /// When each home last answered anything.
+    heard_at: RefCell<HashMap<InstanceId, Instant>>,
 }
 
 impl LanePool {
     /// A pool that opens lanes through `lanes`.
     pub fn new(lanes: Rc<Lanes>) -> Rc<LanePool> {
-        Rc::new(LanePool { lanes, idle: RefCell::default() })
+        Rc::new(LanePool { lanes, idle: RefCell::default(), heard_at: RefCell::default() })
     }
 
     /// A lane to `home`.
@@ -40,6 +42,22 @@
         }
     }
 
+    /// Notes that `home` answered.
+    pub(crate) fn heard(&self, home: &InstanceId, now: Instant) {
+        let mut heard_at = self.heard_at.borrow_mut();
+        match heard_at.get_mut(home) {
+            Some(at) => *at = now,
+            None => {
+                heard_at.insert(home.clone(), now);
+            }
+        }
+    }
+
+    /// Whether `home` answered anything since `since`.
+    pub(crate) fn heard_since(&self, home: &InstanceId, since: Instant) -> bool {
+        self.heard_at.borrow().get(home).is_some_and(|it| *it >= since)
+    }
+
     /// Gives back a lane that carries no transaction.
     pub(crate) fn give_back(&self, home: &InstanceId, lane: Box<dyn Lane>) {
         let mut idle = self.idle.borrow_mut();
--- a/crates/gullspar_caller/src/router.rs
+++ b/crates/gullspar_caller/src/router.rs
@@ -12,7 +12,7 @@
     Access, DataCentre, GroupSpec, InstanceRecord, MemberName, MemberSpec, NotRun, Outcome,
     TargetKey, Unknown,
 };
-use gullspar_target::{Canceller, FrameSink, Unit};
+use gullspar_target::{Canceller, FrameSink, Lane, Unit};
 use gullspar_wire::LaneUnit;
 
 use crate::caller_sink::CallerSink;
@@ -22,6 +22,9 @@
 /// How long opening a lane may take before another way is tried.
 const LANE_WITHIN: Duration = Duration::from_millis(300);
 
+/// A home that answered within this time needs not be asked whether it is there.
+const HEARD_LATELY: Duration = Duration::from_millis(250);
+
 /// A target that failed or was behind is avoided for so long, unless nothing else is left.
 const AVOID_FOR: Duration = Duration::from_millis(100);
 
@@ -271,12 +274,16 @@
                 return (Outcome::NotRun(NotRun::Unreachable), None);
             }
         };
+        if routed.unit.head.commits && !self.is_there(home, &mut lane).await {
+            return (Outcome::NotRun(NotRun::Unreachable), None);
+        }
         on_lane(Some(lane.canceller()));
         let result = self.unless_superseded(&routed.unit.head, lane.run(&routed.unit, sink)).await;
         on_lane(None);
         let Some(result) = result else { return (superseded(&routed.unit.head), None) };
         match result {
             Ok(outcome) => {
+                self.lanes.heard(&home.id, clock.now());
                 // A lane with an unknown outcome may still carry a late answer.
                 let sound = !matches!(outcome, Outcome::Unknown(_));
                 let held = sound.then(|| HeldLane {
@@ -295,6 +302,22 @@
         }
     }
 
+    /// Whether a home that was not heard of lately answers now.
+    ///
+    /// A write sent to a home behind a cut link would be neither done nor certainly not run, and its
+    /// caller left with an unknown outcome. The question costs a round trip, after a silence only.
+    async fn is_there(&self, home: &InstanceRecord, lane: &mut Box<dyn Lane>) -> bool {
+        let now = self.fleet.borders().clock.now();
+        if self.lanes.heard_since(&home.id, now - HEARD_LATELY) {
+            return true;
+        }
+        let answers = lane.answers(now + LANE_WITHIN).await;
+        if answers {
+            self.lanes.heard(&home.id, self.fleet.borders().clock.now());
+        }
+        answers
+    }
+
     /// Awaits what a lane brings, but not long after the primary that it leads to was superseded.
     ///
     /// A hung primary, or a home that is cut off, would hold the request until its deadline although
--- a/crates/gullspar_caller/src/session.rs
+++ b/crates/gullspar_caller/src/session.rs
@@ -6,16 +6,19 @@
 use bytes::{BufMut, BytesMut};
 use event_listener::EventListener;
 use futures::future::{self, Either};
-use gullspar_model::{Access, Guard, NotRun, Outcome, TargetKey, Token, Unknown};
+use gullspar_model::{Access, Guard, NotRun, Outcome, TargetKey, Token};
 use gullspar_target::{Canceller, Unit};
 use gullspar_wire::{
-    Channel, ErrorReport, Frame, LaneRequirement, LaneUnit, WireError, caller, command_complete,
-    parameter_status, ready, status, target,
+    Channel, ErrorReport, Frame, LaneRequirement, LaneUnit, WireError, caller, parameter_status,
+    queue_server_parameters, ready, status, target,
 };
 
 use crate::caller_sink::CallerSink;
 use crate::cancel_registry::Registered;
+use crate::local_answer::{ShownSetting, complete_locally};
 use crate::local_command::{LocalCommand, LocalSetting};
+use crate::outcome_report::{not_run_report, refusal, unknown_report};
+use crate::plan::Plan;
 use crate::request::{Request, RequestEnd};
 use crate::request_reader::{Incoming, RequestReader};
 use crate::router::{self, Routed, Routing};
@@ -30,17 +33,6 @@
 /// tried; weighed in `docs/design/staleness.md`.
 const FLOOR_WAIT_MS: u64 = 20;
 
-/// What a request needs.
-struct Plan {
-    access: Access,
-    replica_allowed: bool,
-    acknowledge: bool,
-    commits: bool,
-    keep: bool,
-    dirties: bool,
-    anchors: bool,
-}
-
 /// A session that has been authenticated.
 pub(crate) struct Session {
     server: Rc<CallerServer>,
@@ -126,16 +118,7 @@
 
     async fn welcome(&self, channel: &mut Channel) -> Result<(), WireError> {
         channel.queue(Frame::new(target::AUTHENTICATION, &[0; 4]).bytes());
-        for (name, value) in [
-            ("server_version", "16.0"),
-            ("server_encoding", "UTF8"),
-            ("client_encoding", "UTF8"),
-            ("standard_conforming_strings", "on"),
-            ("DateStyle", "ISO, MDY"),
-            ("integer_datetimes", "on"),
-        ] {
-            parameter_status(channel.outgoing(), name, value);
-        }
+        queue_server_parameters(channel.outgoing());
         let mut key = BytesMut::new();
         key.put_i32(self.registered.process);
         key.put_i32(self.registered.secret);
@@ -198,7 +181,7 @@
         let clock = Rc::clone(&self.server.fleet.borders().clock);
         let started = clock.now();
         let deadline = started + self.state.time_limit();
-        let plan = self.plan(&req);
+        let plan = Plan::new(&mut self.state, &req);
         if let Some(versioned) = self.server.fleet.config.service(&self.state.service) {
             self.state.object = versioned.object;
         }
@@ -216,92 +199,6 @@
         self.conclude(channel, &req, routing, continues, deadline).await
     }
 
-    /// What a request needs, with regard to the batch that it is part of.
-    ///
-    /// A Flush shows what ran so far, and only the batch's Sync commits it; asked for its position
-    /// before that, the target would answer in the middle of the batch.
-    fn plan(&mut self, req: &Request) -> Plan {
-        let mut plan = self.plan_alone(req);
-        let pending = self.state.batch_open && self.state.batch_commits;
-        if req.end == RequestEnd::Flush {
-            self.state.batch_commits = pending || plan.commits;
-            plan.commits = false;
-            plan.acknowledge = false;
-            // What follows in the batch may write, and must run on the same connection.
-            plan.replica_allowed = false;
-        } else {
-            plan.commits |= pending;
-            plan.acknowledge |= pending;
-            self.state.batch_commits = false;
-        }
-        plan
-    }
-
-    fn plan_alone(&self, req: &Request) -> Plan {
-        let on_replica = self.state.transaction == TransactionState::Open { on_primary: false };
-        let mut plan = Plan {
-            access: Access::Read,
-            replica_allowed: true,
-            acknowledge: true,
-            commits: false,
-            keep: self.state.pinned,
-            dirties: false,
-            anchors: false,
-        };
-        let open = matches!(self.state.transaction, TransactionState::Open { .. });
-        if req.statements.is_empty() {
-            // Nothing runs; what is only described may need the primary's newer schema.
-            plan.replica_allowed = req.described.iter().all(|it| it.is_read());
-            plan.acknowledge = false;
-            return plan;
-        }
-        let single = req.statements.len() == 1;
-        for statement in &req.statements {
-            match &statement.kind {
-                StatementKind::Data(Access::Read) => {}
-                StatementKind::Begin { read_only } if single => {
-                    plan.acknowledge = false;
-                    plan.replica_allowed = *read_only;
-                    plan.access = if *read_only { Access::Read } else { Access::Write };
-                    return plan;
-                }
-                StatementKind::Set | StatementKind::Reset if single => {
-                    plan.acknowledge = false;
-                    plan.dirties = true;
-                }
-                StatementKind::Pinning => {
-                    plan.keep = true;
-                    plan.access = Access::Write;
-                    plan.commits = !open;
-                }
-                StatementKind::Data(Access::Write) => {
-                    plan.access = Access::Write;
-                    plan.commits |= !open;
-                }
-                StatementKind::RollBack if single => {}
-                _ => {
-                    plan.access = Access::Write;
-                    plan.commits = true;
-                }
-            }
-        }
-        if open && !plan.commits {
-            plan.acknowledge = false;
-        }
-        if on_replica {
-            plan.acknowledge = false;
-            plan.commits = false;
-        }
-        if plan.access == Access::Write {
-            plan.replica_allowed = false;
-        } else if self.state.needs_anchor() && !open {
-            // The caller may have written through another instance and kept no token.
-            plan.replica_allowed = false;
-            plan.anchors = true;
-        }
-        plan
-    }
-
     fn unit(&mut self, req: &Request, plan: &Plan) -> Unit {
         let state = &mut self.state;
         let marked = req.statements.first().and_then(|it| it.request_key.clone());
@@ -487,11 +384,11 @@
 
     fn adopt_status(&mut self, byte: u8, on_primary: bool, lane: Option<HeldLane>) {
         let before = self.state.transaction;
-        self.state.batch_open = byte == BATCH_OPEN;
+        self.state.batch_open = byte == status::BATCH_OPEN;
         self.state.transaction = match byte {
             status::IN_TRANSACTION => TransactionState::Open { on_primary },
             status::FAILED => TransactionState::Failed { on_target: true },
-            BATCH_OPEN => before,
+            status::BATCH_OPEN => before,
             _ => TransactionState::Idle,
         };
         self.state.held = lane;
@@ -550,7 +447,9 @@
             Err(report) => self.fail(channel, req, &report).await,
             Ok(shown) => {
                 let tag = if shown.is_some() { "SHOW" } else { "SET" };
-                let row = shown.as_ref().map(|(setting, value)| (setting.name(), value.as_str()));
+                let row = shown
+                    .as_ref()
+                    .map(|(setting, value)| ShownSetting { name: setting.name(), value });
                 complete_locally(channel, &req.kinds, row, tag);
                 self.finish(channel, req).await
             }
@@ -645,9 +544,6 @@
     }
 }
 
-/// Status byte of a unit that ended with a Flush.
-const BATCH_OPEN: u8 = b'F';
-
 /// After an error within a batch the caller's messages are skipped up to its Sync.
 async fn skip_to_sync(channel: &mut Channel) -> Result<(), WireError> {
     channel.flush().await?;
@@ -655,13 +551,6 @@
     Ok(())
 }
 
-fn refusal(req: &Request) -> Option<ErrorReport> {
-    req.statements.iter().chain(&req.described).find_map(|it| match it.kind {
-        StatementKind::Refused(why) => Some(ErrorReport::error("0A000", why).with_hint("not run")),
-        _ => None,
-    })
-}
-
 /// The command of a request that gullspar answers itself.
 fn local_command(req: &Request) -> Option<LocalCommand> {
     let statement = req.statements.first().or(req.described.first())?;
@@ -670,65 +559,3 @@
         _ => None,
     }
 }
-
-/// Answers each message of a request as a target would.
-fn complete_locally(channel: &mut Channel, kinds: &[u8], row: Option<(&str, &str)>, tag: &str) {
-    let description = row.map(|(name, _)| text_column(name));
-    for kind in kinds {
-        match *kind {
-            caller::QUERY => {
-                if let Some(description) = &description {
-                    channel.queue(description.bytes());
-                }
-                queue_row(channel, row, tag);
-            }
-            caller::PARSE => channel.queue(Frame::new(target::PARSE_COMPLETE, &[]).bytes()),
-            caller::BIND => channel.queue(Frame::new(target::BIND_COMPLETE, &[]).bytes()),
-            caller::CLOSE => channel.queue(Frame::new(target::CLOSE_COMPLETE, &[]).bytes()),
-            caller::DESCRIBE => match &description {
-                Some(description) => channel.queue(description.bytes()),
-                None => channel.queue(Frame::new(target::NO_DATA, &[]).bytes()),
-            },
-            caller::EXECUTE => queue_row(channel, row, tag),
-            _ => {}
-        }
-    }
-}
-
-fn queue_row(channel: &mut Channel, row: Option<(&str, &str)>, tag: &str) {
-    if let Some((_, value)) = row {
-        let mut body = BytesMut::new();
-        body.put_u16(1);
-        body.put_i32(value.len() as i32);
-        body.put_slice(value.as_bytes());
-        channel.queue(Frame::new(target::DATA_ROW, &body).bytes());
-    }
-    channel.queue(command_complete(tag).bytes());
-}
-
-fn text_column(name: &str) -> Frame {
-    /// PostgreSQL's number of the type `text`.
-    const TEXT: u32 = 25;
-    let mut body = BytesMut::new();
-    body.put_u16(1);
-    body.put_slice(name.as_bytes());
-    body.put_u8(0);
-    body.put_u32(0);
-    body.put_u16(0);
-    body.put_u32(TEXT);
-    body.put_i16(-1);
-    body.put_i32(-1);
-    body.put_u16(0);
-    Frame::new(target::ROW_DESCRIPTION, &body)
-}
-
-fn not_run_report(reason: NotRun) -> ErrorReport {
-    let hint = format!("not run; retry after {} ms", reason.retry_after_ms());
-    ErrorReport::error(reason.sql_state(), format!("not run: {}", reason.text())).with_hint(hint)
-}
-
-fn unknown_report(reason: Unknown, late: bool) -> ErrorReport {
-    let text = if late { "deadline passed, outcome unknown" } else { "outcome unknown" };
-    ErrorReport::error(Unknown::SQL_STATE, format!("{text}: {}", reason.text()))
-        .with_hint("unknown; repeat it only with the same request key, or if it is idempotent")
-}
--- a/crates/gullspar_caller/src/stats.rs
+++ b/crates/gullspar_caller/src/stats.rs
@@ -93,18 +93,7 @@
 
 impl ClassStats {
     fn new(counted: &Counted<'_>) -> ClassStats {
-        let total = OutcomeCount {
-            service: counted.service.to_string(),
-            class: counted.class_name.to_owned(),
-            objective_ppm: 0,
-            done: 0,
-            late: 0,
-            not_run: 0,
-            unknown: 0,
-            replica_reads: 0,
-            primary_reads: 0,
-            writes: 0,
-        };
+        let total = OutcomeCount::empty(counted.service.as_str(), counted.class_name);
         ClassStats { total, ring: MinuteRing::default() }
     }
 
--- a/crates/gullspar_group/src/lib.rs
+++ b/crates/gullspar_group/src/lib.rs
@@ -18,6 +18,6 @@
 pub use group_timing::GroupTiming;
 pub use group_watch::{GroupWatch, Leader, Settled, WatchUse};
 pub use member_view::MemberView;
-pub use promotion::{Promotion, PromotionError, PromotionStep};
+pub use promotion::{Promotion, PromotionError};
 pub use reading_history::{Reading, ReadingHistory};
 pub use target_control::{STATUS_NOW, TargetControl, TargetError, read_status};
--- a/crates/gullspar_group/src/promotion.rs
+++ b/crates/gullspar_group/src/promotion.rs
@@ -8,6 +8,7 @@
 use gullspar_border::{ConfigEntry, ObjectVersion, PlatformError, within};
 use gullspar_model::{
     GroupObject, Guard, LogPoint, MemberName, MemberSpec, MemberStatus, Term, TermStart,
+    promotion_pauses_after,
 };
 use quick_error::quick_error;
 
@@ -44,9 +45,9 @@
     }
 }
 
-/// The steps of a promotion, in order; tests stop after each of them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum PromotionStep {
+/// The steps of a promotion, in order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PromotionStep {
     Claimed,
     Fenced,
     Promoted,
@@ -68,40 +69,34 @@
 /// One attempt to promote.
 pub struct Promotion {
     watch: Rc<GroupWatch>,
-    /// The attempt ends as if the instance had died after this step.
-    pub stop_after: Option<PromotionStep>,
 }
 
 impl Promotion {
     /// An attempt for the group that `watch` observes.
     pub fn new(watch: Rc<GroupWatch>) -> Promotion {
-        Promotion { watch, stop_after: None }
+        Promotion { watch }
     }
 
     /// Replaces the leader of `base`; does nothing if the group has moved on from it.
     pub async fn run(&self, base: Term, graceful: bool) -> Result<Leader, PromotionError> {
         let claim = self.claim(base).await?;
-        self.check_stop(PromotionStep::Claimed)?;
+        reached(PromotionStep::Claimed);
         let term = claim.object.claimed;
         if graceful {
             self.let_replicas_catch_up(term, claim.object.primary.as_ref()).await;
         }
         let fenced = self.fence_majority(term).await?;
-        self.check_stop(PromotionStep::Fenced)?;
+        reached(PromotionStep::Fenced);
         let (mut chosen, end) = most_advanced(fenced).ok_or(PromotionError::NoMajority(0))?;
         let deadline = self.watch.now() + self.watch.timing.step_within;
         chosen.control.promote(term, deadline).await?;
-        self.check_stop(PromotionStep::Promoted)?;
+        reached(PromotionStep::Promoted);
         let leader = Leader { term, member: chosen.spec.name };
         self.record(claim, &leader, end).await?;
-        self.check_stop(PromotionStep::Recorded)?;
+        reached(PromotionStep::Recorded);
         Ok(leader)
     }
 
-    fn check_stop(&self, step: PromotionStep) -> Result<(), PromotionError> {
-        if self.stop_after == Some(step) { Err(PromotionError::Overtaken) } else { Ok(()) }
-    }
-
     /// Claims the next term. The platform grants each term once, so two claimants never share one.
     async fn claim(&self, base: Term) -> Result<Claim, PromotionError> {
         let key = self.key();
@@ -259,3 +254,12 @@
     let end = best.status.log_end();
     Some((best, end))
 }
+
+/// Where a test may let the whole instance stand still, as a paused virtual machine does.
+fn reached(step: PromotionStep) {
+    /// Longer than it takes the others to notice and to act.
+    const PAUSE: Duration = Duration::from_millis(2500);
+    if promotion_pauses_after(step as u32) {
+        std::thread::sleep(PAUSE);
+    }
+}
--- a/crates/gullspar_lab/tests/support/mod.rs
+++ b/crates/gullspar_lab/tests/support/mod.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use gullspar_lab::{Client, Lab, LabSettings};
+use gullspar_lab::{Client, History, Lab, LabSettings, Verdict, WorkloadSettings};
 
 /// How long anything in a test may take before the test is called failed.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -102,6 +102,28 @@
     }
 }
 
+/// Callers that write at all instances of a lab.
+pub fn writers(lab: &LabUnderTest) -> WorkloadSettings {
+    WorkloadSettings {
+        addresses: lab.caller_addresses(),
+        service: "tours".to_owned(),
+        user: "strict".to_owned(),
+        callers: 6,
+        pause: Duration::from_millis(5),
+        read_back: false,
+        carry_token: false,
+        keyed: false,
+        prefix: String::new(),
+    }
+}
+
+/// Checks what callers were told against the ledger, and that the run did something.
+pub fn assert_sound(lab: &LabUnderTest, history: &History) {
+    let violations = history.check(&run(lab.ledger()));
+    assert!(violations.is_empty(), "{violations:?}");
+    assert!(history.count(Verdict::Done) > 20, "too little ran: {}", history.writes.len());
+}
+
 /// Runs a future on a runtime of its own.
 pub fn run<T>(fut: impl Future<Output = T>) -> T {
     compio::runtime::Runtime::new().unwrap().block_on(fut)
--- a/crates/gullspar_model/src/guard.rs
+++ b/crates/gullspar_model/src/guard.rs
@@ -46,6 +46,22 @@
     }
 }
 
+/// Whether a test wants the instance to stand still after this step of a promotion, once.
+#[cfg(not(feature = "guard_switches"))]
+#[inline(always)]
+pub fn promotion_pauses_after(_step: u32) -> bool {
+    false
+}
+
+/// Whether a test wants the instance to stand still after this step of a promotion, once.
+#[cfg(feature = "guard_switches")]
+pub fn promotion_pauses_after(step: u32) -> bool {
+    use std::sync::atomic::Ordering;
+    let wanted =
+        switches::PAUSE_AFTER.compare_exchange(step + 1, 0, Ordering::Relaxed, Ordering::Relaxed);
+    wanted.is_ok()
+}
+
 /// Switches, for tests.
 #[cfg(feature = "guard_switches")]
 pub mod switches {
@@ -56,6 +72,14 @@
     /// Puts the guard back when dropped.
     pub struct SwitchedOff(pub(super) super::Guard);
 
+    /// The step of a promotion after which its instance stands still, counted from one; 0 for none.
+    pub(super) static PAUSE_AFTER: AtomicU32 = AtomicU32::new(0);
+
+    /// Lets the next promotion's instance stand still after this step, counted from zero.
+    pub fn pause_promotion_after(step: u32) {
+        PAUSE_AFTER.store(step + 1, Ordering::Relaxed);
+    }
+
     impl Drop for SwitchedOff {
         fn drop(&mut self) {
             OFF.fetch_and(!(1 << self.0 as u32), Ordering::Relaxed);
--- a/crates/gullspar_model/src/lib.rs
+++ b/crates/gullspar_model/src/lib.rs
@@ -26,9 +26,9 @@
 pub use fence::FenceDecision;
 pub use group_object::{GroupObject, TermStart};
 pub use group_spec::GroupSpec;
-pub use guard::Guard;
 #[cfg(feature = "guard_switches")]
 pub use guard::switches;
+pub use guard::{Guard, promotion_pauses_after};
 pub use instance_record::{InstanceRecord, InstanceState};
 pub use log_point::{LogPoint, LogPosition, Term};
 pub use member_spec::MemberSpec;
--- a/crates/gullspar_target/src/lane.rs
+++ b/crates/gullspar_target/src/lane.rs
@@ -1,6 +1,7 @@
 //! The way from a caller's session to a target's connection, on this instance or another.
 
 use std::rc::Rc;
+use std::time::Instant;
 
 use bytes::BytesMut;
 use futures::future::LocalBoxFuture;
@@ -45,6 +46,9 @@
         sink: &'a mut dyn FrameSink,
     ) -> LocalBoxFuture<'a, Result<Outcome, LaneError>>;
 
+    /// Asks the home for a sign of life before something is sent whose outcome must be known.
+    fn answers(&mut self, deadline: Instant) -> LocalBoxFuture<'_, bool>;
+
     /// Whether the lane may still be used.
     fn is_sound(&self) -> bool;
 
@@ -74,7 +78,7 @@
     pub async fn open(
         &self,
         home: &gullspar_model::InstanceRecord,
-        deadline: std::time::Instant,
+        deadline: Instant,
     ) -> Result<Box<dyn Lane>, WireError> {
         if home.id == self.fleet.id() {
             return Ok(Box::new(LocalLane::new(Rc::clone(&self.pools))));
--- a/crates/gullspar_target/src/lane_server.rs
+++ b/crates/gullspar_target/src/lane_server.rs
@@ -75,6 +75,11 @@
     loop {
         channel.wait_readable().await?;
         let frame = channel.next().await?;
+        if frame.kind() == LaneFrame::ECHO {
+            channel.queue(frame.bytes());
+            channel.flush().await?;
+            continue;
+        }
         if frame.kind() != LaneFrame::UNIT {
             return Err(WireError::Malformed("a unit was due on a lane".to_owned()));
         }
--- a/crates/gullspar_target/src/lib.rs
+++ b/crates/gullspar_target/src/lib.rs
@@ -13,6 +13,7 @@
 mod remote_lane;
 mod target_connection;
 mod target_pool;
+mod unit_exchange;
 
 pub use admission::{Admission, Permit};
 pub use lane::{Canceller, FrameSink, Lane, LaneError, Lanes, Unit};
--- a/crates/gullspar_target/src/local_lane.rs
+++ b/crates/gullspar_target/src/local_lane.rs
@@ -10,36 +10,14 @@
 use futures::future::LocalBoxFuture;
 use gullspar_border::within;
 use gullspar_group::{GroupWatch, STATUS_NOW, Settled, WatchUse, read_status};
-use gullspar_model::{Access, LogPoint, MemberStatus, NotRun, Outcome, Term, Unknown};
-use gullspar_wire::{ErrorReport, LaneUnit, WireError, query, status, target};
+use gullspar_model::{Access, LogPoint, NotRun, Outcome, Term, Unknown};
+use gullspar_wire::{LaneUnit, status};
 
 use crate::Pools;
-use crate::exchange::{Exchange, Verdict};
 use crate::keyed_request::{self, KeyedStart};
 use crate::lane::{Canceller, FrameSink, Lane, LaneError, Unit};
 use crate::target_pool::{CheckedOut, TargetPool};
-
-/// Most that an answer may hold back while it waits for its acknowledgement, in bytes.
-const HELD_LIMIT: usize = 1024 * 1024;
-
-/// Passes answers on in pieces of at least this size while more is on its way, in bytes.
-const PIECE: usize = 16 * 1024;
-
-/// Status byte of a unit that ended with a Flush: the batch is still open.
-pub(crate) const BATCH_OPEN: u8 = b'F';
-
-/// How a unit failed on its way.
-enum Failure {
-    NotRun(NotRun),
-    /// The connection broke or the deadline passed after the unit was sent.
-    Lost(Unknown),
-}
-
-impl From<NotRun> for Failure {
-    fn from(reason: NotRun) -> Failure {
-        Failure::NotRun(reason)
-    }
-}
+use crate::unit_exchange::{Collector, Exchanged, Failure, apply_settings, exchange_plain};
 
 /// A unit that may run now.
 struct Admitted {
@@ -50,19 +28,6 @@
     checked_out: CheckedOut,
 }
 
-/// What came of the messages exchanged with a target.
-#[derive(Default)]
-struct Exchanged {
-    /// Held back until the acknowledgement.
-    held: BytesMut,
-    holding: bool,
-    status: u8,
-    /// SQLSTATE of the first error.
-    error: Option<String>,
-    /// The member's status after the unit.
-    after: Option<MemberStatus>,
-}
-
 /// A connection kept from one unit to the next.
 struct Pinned {
     checked_out: CheckedOut,
@@ -286,19 +251,6 @@
     }
 }
 
-/// Gathers what a keyed request answers, to be kept with its key.
-#[derive(Default)]
-struct Collector {
-    bytes: BytesMut,
-}
-
-impl FrameSink for Collector {
-    fn push<'a>(&'a mut self, bytes: &'a [u8]) -> LocalBoxFuture<'a, Result<(), WireError>> {
-        self.bytes.extend_from_slice(bytes);
-        std::future::ready(Ok(())).boxed_local()
-    }
-}
-
 /// Checks that a unit for the primary may be sent to this member, and under which term.
 fn check_leadership(watch: &GroupWatch, head: &LaneUnit) -> Result<Option<Term>, NotRun> {
     if !head.on_primary {
@@ -353,103 +305,6 @@
     watch.settle(LogPoint { term, position: after.position }, deadline).await
 }
 
-async fn apply_settings(
-    connection: &mut crate::TargetConnection,
-    settings: &[String],
-) -> Result<(), WireError> {
-    connection.channel.ask("DISCARD ALL").await?;
-    connection.prepared.clear();
-    connection.settings.clear();
-    for setting in settings {
-        connection.channel.ask(setting).await?;
-    }
-    connection.settings = settings.to_vec();
-    Ok(())
-}
-
-/// Sends a unit and reads its answer, holding back what claims success.
-async fn exchange_plain(
-    unit: &Unit,
-    connection: &mut crate::TargetConnection,
-    sink: &mut dyn FrameSink,
-) -> Result<Exchanged, Failure> {
-    let mut exchange = Exchange::default();
-    let mut out = BytesMut::with_capacity(unit.payload.len() + 64);
-    // Malformed messages were refused when the caller sent them.
-    let prepared = exchange.prepare(unit.payload.clone(), connection, &mut out);
-    prepared.map_err(|_| NotRun::Unreachable)?;
-    let keyed = unit.head.request_key.is_some() && unit.head.commits && !unit.head.continues;
-    let ask_status = unit.head.acknowledge && !keyed;
-    if ask_status {
-        out.extend_from_slice(query(STATUS_NOW).bytes());
-    }
-    connection.channel.queue(&out);
-    let lost = |_| Failure::Lost(Unknown::ConnectionLost);
-    connection.channel.flush().await.map_err(lost)?;
-    let mut exchanged = Exchanged { status: BATCH_OPEN, ..Exchanged::default() };
-    let mut ready = BytesMut::new();
-    loop {
-        for frame in exchange.synthetic() {
-            ready.extend_from_slice(frame.bytes());
-        }
-        if exchange.is_settled() {
-            break;
-        }
-        let frame = match connection.channel.buffered().map_err(lost)? {
-            Some(frame) => frame,
-            None => {
-                if !ready.is_empty() && !exchanged.holding {
-                    sink.push(&ready).await.map_err(lost)?;
-                    ready.clear();
-                }
-                connection.channel.next().await.map_err(lost)?
-            }
-        };
-        match exchange.judge(&frame, connection) {
-            Verdict::Hide => continue,
-            Verdict::Ready(byte) => {
-                exchanged.status = byte;
-                break;
-            }
-            Verdict::Forward => {}
-        }
-        if frame.kind() == target::ERROR && exchanged.error.is_none() {
-            exchanged.error = Some(ErrorReport::decode(&frame).code);
-        }
-        let decisive = matches!(frame.kind(), target::COMMAND_COMPLETE | target::ERROR);
-        if decisive && unit.head.on_primary && !exchanged.holding {
-            // From here on the answer claims a result, and must not be seen before it is certain.
-            exchanged.holding = true;
-            if !ready.is_empty() {
-                sink.push(&ready).await.map_err(lost)?;
-                ready.clear();
-            }
-        }
-        if exchanged.holding {
-            exchanged.held.extend_from_slice(frame.bytes());
-            if exchanged.held.len() > HELD_LIMIT {
-                return Err(Failure::Lost(Unknown::NotAcknowledged));
-            }
-        } else {
-            ready.extend_from_slice(frame.bytes());
-            if ready.len() >= PIECE {
-                sink.push(&ready).await.map_err(lost)?;
-                ready.clear();
-            }
-        }
-    }
-    if exchanged.holding {
-        exchanged.held.extend_from_slice(&ready);
-    } else {
-        exchanged.held = ready;
-    }
-    if ask_status {
-        let rows = connection.channel.read_answer().await.map_err(lost)?;
-        exchanged.after = rows.first().and_then(read_status);
-    }
-    Ok(exchanged)
-}
-
 impl Lane for LocalLane {
     fn run<'a>(
         &'a mut self,
@@ -459,6 +314,10 @@
         async move { Ok(self.run_unit(unit, sink).await) }.boxed_local()
     }
 
+    fn answers(&mut self, _: Instant) -> LocalBoxFuture<'_, bool> {
+        std::future::ready(true).boxed_local()
+    }
+
     fn is_sound(&self) -> bool {
         true
     }
--- a/crates/gullspar_target/src/remote_lane.rs
+++ b/crates/gullspar_target/src/remote_lane.rs
@@ -94,6 +94,20 @@
         .boxed_local()
     }
 
+    fn answers(&mut self, deadline: Instant) -> LocalBoxFuture<'_, bool> {
+        async move {
+            let clock = Rc::clone(&self.fleet.borders().clock);
+            let echo = async {
+                self.channel.queue(Frame::new(LaneFrame::ECHO, &[]).bytes());
+                self.channel.flush().await?;
+                self.channel.next().await
+            };
+            let answer = within(&*clock, deadline, echo).await;
+            matches!(answer, Ok(Ok(frame)) if frame.kind() == LaneFrame::ECHO)
+        }
+        .boxed_local()
+    }
+
     fn is_sound(&self) -> bool {
         self.channel.is_quiet()
     }
--- a/crates/gullspar_wire/src/lane_frame.rs
+++ b/crates/gullspar_wire/src/lane_frame.rs
@@ -67,6 +67,9 @@
     /// Type byte of a unit's outcome.
     pub const OUTCOME: u8 = b'O';
 
+    /// Type byte of a question whether the home is there, and of its answer.
+    pub const ECHO: u8 = b'y';
+
     /// Type byte of the greeting that opens a lane.
     pub const HELLO: u8 = b'Y';
 
--- a/crates/gullspar_wire/src/messages.rs
+++ b/crates/gullspar_wire/src/messages.rs
@@ -55,6 +55,8 @@
     pub const IDLE: u8 = b'I';
     pub const IN_TRANSACTION: u8 = b'T';
     pub const FAILED: u8 = b'E';
+    /// Not PostgreSQL's: on lanes, a unit that ended with a Flush, whose batch is still open.
+    pub const BATCH_OPEN: u8 = b'F';
 }
 
 /// A start-up message with these parameters.
@@ -109,6 +111,21 @@
     let _ = message.encode(buf);
 }
 
+/// Queues the settings that a server reports when a session starts.
+pub fn queue_server_parameters(buf: &mut BytesMut) {
+    const REPORTED: [(&str, &str); 6] = [
+        ("server_version", "16.0"),
+        ("server_encoding", "UTF8"),
+        ("client_encoding", "UTF8"),
+        ("standard_conforming_strings", "on"),
+        ("DateStyle", "ISO, MDY"),
+        ("integer_datetimes", "on"),
+    ];
+    for (name, value) in REPORTED {
+        parameter_status(buf, name, value);
+    }
+}
+
 /// The name and the text of a Parse message, and what follows them.
 pub fn parse_parts(message: &Frame) -> Result<(&str, &str, &[u8]), WireError> {
     let (name, rest) = frame::text_at(message.body())?;
