Never refuse as not run what an earlier attempt may have run

Sequence: its first attempt ended unknown when the primary stopped, gullspar repeated it by its key, and the repetition was refused (no primary yet, deadline). Cause: the outcome of the last attempt was told as that of the request. Change: after an attempt that ended unknown, a refusal of a later one is told as unknown. Also: while the retry budget is spent, only news of leadership or instances lets a request go again; before, it went after a pause all the same.

--- a/crates/gullspar_caller/src/router.rs
+++ b/crates/gullspar_caller/src/router.rs
@@ -112,9 +112,20 @@
     ) -> Routing {
         self.budget.fill();
         let mut pause = FIRST_PAUSE;
+        let mut earlier = None;
         loop {
             let seen = self.knowledge();
-            let routing = self.try_targets(routed, sink, on_lane).await;
+            let mut routing = self.try_targets(routed, sink, on_lane).await;
+            match routing.outcome {
+                Outcome::Unknown(reason) => earlier = Some(reason),
+                // An attempt that was refused says nothing of the one before it, which may have run.
+                Outcome::NotRun(_) => {
+                    if let Some(reason) = earlier {
+                        routing.outcome = Outcome::Unknown(reason);
+                    }
+                }
+                Outcome::Done { .. } => {}
+            }
             let again = match &routing.outcome {
                 Outcome::Done { .. } => false,
                 Outcome::NotRun(NotRun::Overloaded { .. }) => false,
@@ -123,27 +134,40 @@
                     routed.repeatable && *reason != Unknown::DeadlinePassed && !sink.started
                 }
             };
-            let clock = &self.fleet.borders().clock;
-            if !again || sink.started || clock.now() >= routed.deadline {
+            if !again || sink.started {
                 return routing;
             }
-            if self.knowledge() != seen {
-                continue;
+            if !self.wait_for_turn(seen, pause, routed.deadline).await {
+                return routing;
             }
-            // A change of leadership or of instances is the likeliest end of the trouble, and it is
-            // the only thing that lets a request go again when the budget is spent.
-            let paced = jittered(&*self.fleet.borders().entropy, pause);
-            let until = if self.budget.draw() {
-                clock.now() + paced
-            } else {
-                clock.now() + LONGEST_PAUSE.max(paced)
-            };
-            let news = future::select(self.fleet.config.listen(), self.fleet.listen());
-            let _ = within(&**clock, until.min(routed.deadline), news).await;
             pause = (pause * 2).min(LONGEST_PAUSE);
         }
     }
 
+    /// Waits until a request may be tried again; `false` when its deadline comes first.
+    ///
+    /// A change of leadership or of instances is the likeliest end of the trouble and lets it go at
+    /// once. Otherwise it waits out its pause and draws on the budget; while the budget is spent, only
+    /// news lets it go.
+    async fn wait_for_turn(&self, seen: Knowledge, pause: Duration, deadline: Instant) -> bool {
+        let borders = self.fleet.borders();
+        loop {
+            let news = future::select(self.fleet.config.listen(), self.fleet.listen());
+            if self.knowledge() != seen {
+                return true;
+            }
+            let until = borders.clock.now() + jittered(&*borders.entropy, pause);
+            // Whether news came is seen by the check above.
+            let _ = within(&*borders.clock, until.min(deadline), news).await;
+            if borders.clock.now() >= deadline {
+                return false;
+            }
+            if self.knowledge() != seen || self.budget.draw() {
+                return true;
+            }
+        }
+    }
+
     /// What a change of leadership or of instances would change.
     fn knowledge(&self) -> Knowledge {
         Knowledge { config: self.fleet.config.digest(), instances: self.fleet.generation() }
