Bound the age of a superseded primary's reads, and keep settings out of transactions' way

Symptoms: (1) in a data centre cut off with its primary, a tolerant caller's read waited for its deadline behind the cut link although the local target could serve it, and the old primary would have served reads of any age; (2) the statement after a SET within a transaction was refused. Causes: (1) only writes asked a silent home first, and a primary's data was taken for fresh because it was the primary's; (2) the connection was reset within the transaction to put the session's settings in force. The stand-in refuses DISCARD ALL in a transaction as PostgreSQL does.

--- a/crates/gullspar_caller/src/router.rs
+++ b/crates/gullspar_caller/src/router.rs
@@ -298,7 +298,7 @@
                 return (Outcome::NotRun(NotRun::Unreachable), None);
             }
         };
-        if routed.unit.head.commits && !self.is_there(home, &mut lane).await {
+        if !self.is_there(home, &mut lane).await {
             return (Outcome::NotRun(NotRun::Unreachable), None);
         }
         on_lane(Some(lane.canceller()));
@@ -329,7 +329,8 @@
     /// Whether a home that was not heard of lately answers now.
     ///
     /// A write sent to a home behind a cut link would be neither done nor certainly not run, and its
-    /// caller left with an unknown outcome. The question costs a round trip, after a silence only.
+    /// caller left with an unknown outcome; a read would wait there until its deadline although another
+    /// target could serve it. The question costs a round trip, after a silence only.
     async fn is_there(&self, home: &InstanceRecord, lane: &mut Box<dyn Lane>) -> bool {
         let now = self.fleet.borders().clock.now();
         if self.lanes.heard_since(&home.id, now - HEARD_LATELY) {
--- a/crates/gullspar_group/src/group_watch.rs
+++ b/crates/gullspar_group/src/group_watch.rs
@@ -216,6 +216,11 @@
         asked.get(self.spec.borrow().majority() - 1).copied()
     }
 
+    /// Whether a majority took part in `term` at an instant no longer ago than `age`.
+    pub fn confirmed_within(&self, term: Term, age: Duration) -> bool {
+        self.confirmed_as_of(term).is_some_and(|it| self.elapsed(it) <= age)
+    }
+
     /// Whether a majority was heard lately taking part in `term`.
     pub fn majority_in_sight(&self, term: Term) -> bool {
         let now = self.now();
--- a/crates/gullspar_lab/src/group/session/session_loop.rs
+++ b/crates/gullspar_lab/src/group/session/session_loop.rs
@@ -319,6 +319,10 @@
             return Err(SqlError::new("25P02", "the transaction is aborted"));
         }
         if let Some(tag) = settings_tag(sql) {
+            if first == "DISCARD" && self.guard.is_some() {
+                let text = "DISCARD ALL cannot run inside a transaction block";
+                return Err(SqlError::new("25001", text));
+            }
             return Ok(SqlResult { tag, ..SqlResult::default() });
         }
         match first.as_str() {
--- a/crates/gullspar_lab/tests/failover.rs
+++ b/crates/gullspar_lab/tests/failover.rs
@@ -301,3 +301,27 @@
     });
     assert_eq!(lab.statements(replica), before);
 }
+
+/// Symptom: callers read data from a time before a failover, of any age, and are told it is fresh.
+/// Events: the primary's data centre is cut off and another primary is promoted elsewhere; callers in the
+/// cut-off data centre, whose home still sees the old primary lead, read with a stated age.
+/// Cause to guard against: taking a primary's data for fresh because it is the primary's.
+#[test]
+fn a_superseded_primary_serves_no_reads_beyond_their_age() {
+    let lab = LabUnderTest::small();
+    let data_centre = place(&lab, &lab.primary());
+    let index = lab.lab.instances.iter().position(|it| it.addresses.data_centre == data_centre);
+    run(async {
+        let mut tolerant = lab.connect(index.unwrap(), "tolerant").await;
+        let read = "SELECT id FROM doors";
+        assert_eq!(tolerant.query(read).await.unwrap().verdict(), Verdict::Done);
+        lab.lab.faults.apply(FaultChange::Isolate { data_centre: data_centre.clone(), cut: true });
+        compio::time::sleep(Duration::from_millis(500)).await;
+        assert_eq!(tolerant.query(read).await.unwrap().verdict(), Verdict::Done);
+        compio::time::sleep(Duration::from_millis(2000)).await;
+        assert_eq!(tolerant.query(read).await.unwrap().verdict(), Verdict::NotRun);
+        lab.lab.faults.apply(FaultChange::Isolate { data_centre, cut: false });
+        compio::time::sleep(Duration::from_millis(2500)).await;
+        assert_eq!(tolerant.query(read).await.unwrap().verdict(), Verdict::Done);
+    });
+}
--- a/crates/gullspar_lab/tests/whole_path.rs
+++ b/crates/gullspar_lab/tests/whole_path.rs
@@ -108,3 +108,24 @@
         }
     });
 }
+
+/// Symptom: a transaction fails at the statement after a SET, or the next caller inherits the setting.
+/// Events: a session changes a setting within a transaction and goes on.
+/// Cause: the connection was reset, within the transaction, to put the session's settings in force.
+#[test]
+fn a_setting_changed_within_a_transaction_does_not_end_it() {
+    let lab = LabUnderTest::small();
+    run(async {
+        let mut client = lab.connect(0, "strict").await;
+        for sql in [
+            "BEGIN",
+            "SET application_name = 'x'",
+            "INSERT INTO ledger VALUES ('x')",
+            "COMMIT",
+            "SELECT id FROM ledger",
+        ] {
+            let answer = client.query(sql).await.unwrap();
+            assert_eq!(answer.verdict(), Verdict::Done, "{sql}: {answer:?}");
+        }
+    });
+}
--- a/crates/gullspar_target/src/local_lane.rs
+++ b/crates/gullspar_target/src/local_lane.rs
@@ -121,6 +121,7 @@
         deadline: Instant,
     ) -> Result<Exchanged, Failure> {
         let head = &unit.head;
+        admitted.checked_out.connection.dirty |= head.dirties;
         let _slot = if head.continues {
             admitted.pool.slots.enter_now()
         } else {
@@ -135,7 +136,8 @@
         }
         let clock = Rc::clone(&self.pools.fleet.borders().clock);
         let connection = &mut admitted.checked_out.connection;
-        if connection.settings != head.settings {
+        // Within a transaction the connection is this session's already, and could not be reset.
+        if connection.settings != head.settings && !head.continues {
             let apply = apply_settings(connection, &head.settings);
             let applied = within(&*clock, deadline, apply).await;
             applied.map_err(|_| NotRun::DeadlinePassed)?.map_err(|_| NotRun::Unreachable)?;
@@ -224,7 +226,7 @@
         let pinned = exchanged.status != status::IDLE || head.keep;
         if pinned {
             self.pinned = Some(Pinned { checked_out, watch: watch.in_use(), pool, term });
-        } else if !head.dirties {
+        } else {
             checked_out.give_back();
         }
         let mut point = None;
@@ -266,6 +268,12 @@
         // The session has seen a later leader than this instance knows of.
         return Err(NotRun::NotPrimary);
     }
+    if let Some(max_age_ms) = head.requirement.max_age_ms
+        && !watch.confirmed_within(leader.term, Duration::from_millis(max_age_ms))
+    {
+        // A primary that was superseded long ago still answers, with data as old as that.
+        return Err(NotRun::NoMajority);
+    }
     if head.access == Access::Write && !watch.majority_in_sight(leader.term) {
         // Sent now, the write could take effect and never be acknowledged: its caller would be
         // left with an unknown outcome where a clear refusal is possible.
--- a/crates/gullspar_target/src/target_connection.rs
+++ b/crates/gullspar_target/src/target_connection.rs
@@ -18,6 +18,8 @@
     pub(crate) cancel_key: (i32, i32),
     /// Set when a cancel request was sent to the target for this connection.
     pub(crate) cancelled: Rc<Cell<bool>>,
+    /// Whether settings were changed on it that are not known here.
+    pub(crate) dirty: bool,
     /// When it last became idle.
     pub(crate) given_back_at: Instant,
 }
@@ -29,11 +31,12 @@
 
     /// Whether the connection may serve another caller.
     ///
-    /// Bytes that nobody asked for would be read as the next caller's answer. A cancel request
+    /// Settings that its caller changed would hold for the next one. Bytes that nobody asked for would be read as the next caller's answer. A cancel request
     /// may reach the target late and hit the next caller's statement.
     pub(crate) fn is_clean(&self) -> bool {
         !self.channel.has_unread()
             && !self.cancelled.get()
+            && !self.dirty
             && self.prepared.len() < TargetConnection::PREPARED_LIMIT
     }
 }
--- a/crates/gullspar_target/src/target_pool.rs
+++ b/crates/gullspar_target/src/target_pool.rs
@@ -143,6 +143,7 @@
             settings: Vec::new(),
             cancel_key,
             cancelled: Rc::default(),
+            dirty: false,
             given_back_at: self.clock.now(),
         })
     }
