--- a/crates/gullspar_target/src/admission.rs
+++ b/crates/gullspar_target/src/admission.rs
@@ -18,6 +18,12 @@
 /// Longest queue, in requests for each unit of capacity.
 const QUEUE_PER_CAPACITY: usize = 64;
 
+/// How many times the expected wait must fit before the deadline.
+///
+/// The expectation is a mean. Admitted up to the deadline itself, requests at the end of the queue ran into
+/// it as often as not, and were refused only then.
+const WAIT_MARGIN: u32 = 2;
+
 /// Weight of the newest sample in the running mean of service times, as one part in this many.
 const MEAN_WEIGHT: u32 = 8;
 
@@ -94,7 +100,7 @@
             return Ok(self.enter_now());
         }
         let wait = self.expected_wait(level);
-        if now + wait > deadline {
+        if now + wait * WAIT_MARGIN > deadline {
             return Err(overloaded(wait));
         }
         self.make_room(level, wait)?;
