--- a/crates/gullspar_lab/tests/bad_input.rs
+++ b/crates/gullspar_lab/tests/bad_input.rs
@@ -116,6 +116,7 @@
         let target = lab.primary();
         let fault = gullspar_lab::TargetFault::Stopped;
         lab.lab.faults.apply(gullspar_lab::FaultChange::Target { target, fault });
+        compio::time::sleep(support::FAULT_SETTLES).await;
         let lost = client.query("INSERT INTO ledger VALUES ('y')").await.unwrap();
         assert_eq!((lost.verdict(), lost.status), (Verdict::NotRun, b'E'));
         let next = client.query("INSERT INTO ledger VALUES ('z')").await.unwrap();
--- a/crates/gullspar_lab/tests/golden.rs
+++ b/crates/gullspar_lab/tests/golden.rs
@@ -88,6 +88,7 @@
         transcript.note("the primary stops");
         let target = lab.primary();
         lab.lab.faults.apply(FaultChange::Target { target, fault: TargetFault::Stopped });
+        compio::time::sleep(support::FAULT_SETTLES).await;
         transcript.say(&mut client, "INSERT INTO ledger VALUES ('lost too')").await;
         transcript.say(&mut client, "COMMIT").await;
         transcript.say(&mut client, "INSERT INTO ledger VALUES ('after')").await;
--- a/crates/gullspar_lab/tests/support/mod.rs
+++ b/crates/gullspar_lab/tests/support/mod.rs
@@ -13,6 +13,9 @@
 /// How long anything in a test may take before the test is called failed.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
+/// How long the stand-ins may take to notice a fault.
+pub const FAULT_SETTLES: Duration = Duration::from_millis(50);
+
 /// A running lab with one service, `tours`, in front of one group, `core`.
 pub struct LabUnderTest {
     pub lab: Lab,
