--- a/crates/gullspar_bench/benches/failover.rs
+++ b/crates/gullspar_bench/benches/failover.rs
@@ -18,10 +18,16 @@
 
 fn main() -> ExitCode {
     let runs = std::env::var("RUNS").ok().and_then(|it| it.parse().ok()).unwrap_or(20);
+    // One case only, as `ONLY="kahurangi cut off"`.
+    let only = std::env::var("ONLY").ok();
     let mut bounds = Bounds::default();
     println!("deployment  failure  runs  gap p50 ms  gap max ms  writes  unknown  promotions");
     for deployment in [Deployment::MIDSHIRE, Deployment::KAHURANGI] {
         for failure in FAILURES {
+            let case = format!("{} {failure}", deployment.name);
+            if only.as_ref().is_some_and(|it| *it != case) {
+                continue;
+            }
             measure(deployment, failure, runs, &mut bounds);
         }
     }
