Avoid no target for all callers because it is too old for one

Sequence: a tolerant caller finds the only reachable target too old, the target is avoided for 100 ms, the other caller's read goes to targets behind the cut, and the retry budget is spent. Cause: what one class refused was avoided by all. Change: being behind avoids nothing.

--- a/crates/gullspar_caller/src/router.rs
+++ b/crates/gullspar_caller/src/router.rs
@@ -401,6 +401,9 @@
             Outcome::NotRun(NotRun::Unreachable) => {
                 score.avoid_until = Some(now + AVOID_UNREACHABLE_FOR);
             }
+            // Too old for one caller's class is good enough for another's: avoided by all, a cut-off data
+            // centre's only target would refuse callers that accept any age.
+            Outcome::NotRun(NotRun::Behind) => {}
             _ => score.avoid_until = Some(now + AVOID_FOR),
         }
     }
