Count majorities in one place

Three checks of a group's views counted members against the majority, each with a loop of its own, two with the same test of how lately a member was heard. The failover and whole-path tests, format and clippy pass; the other tests were not run again.

--- a/crates/gullspar_group/src/group_watch.rs
+++ b/crates/gullspar_group/src/group_watch.rs
@@ -224,22 +224,22 @@
     /// Whether a majority was heard lately taking part in `term`.
     pub fn majority_in_sight(&self, term: Term) -> bool {
         let now = self.now();
-        let in_sight = self
-            .views
-            .borrow()
-            .values()
-            .filter(|it| it.heard_at + self.timing.failed_after > now)
-            .filter(|it| it.status.is_some_and(|it| it.takes_part_in(term)))
-            .count();
-        in_sight >= self.spec.borrow().majority()
+        self.majority(|it| {
+            it.is_recent(now, self.timing.failed_after)
+                && it.status.is_some_and(|it| it.takes_part_in(term))
+        })
+    }
+
+    /// Whether a majority of members is seen as `wanted`.
+    fn majority(&self, wanted: impl Fn(&MemberView) -> bool) -> bool {
+        let count = self.views.borrow().values().filter(|it| wanted(it)).count();
+        count >= self.spec.borrow().majority()
     }
 
     /// Whether a majority was heard lately, whatever part its members play.
     pub(crate) fn majority_reachable(&self) -> bool {
         let now = self.now();
-        let views = self.views.borrow();
-        let heard = views.values().filter(|it| it.heard_at + self.timing.failed_after > now);
-        heard.count() >= self.spec.borrow().majority()
+        self.majority(|it| it.is_recent(now, self.timing.failed_after))
     }
 
     /// Whether a majority holds the log of `term` up to `position`.
@@ -247,14 +247,9 @@
         if !Guard::MajorityHolds.holds() {
             return true;
         }
-        let holding = self
-            .views
-            .borrow()
-            .values()
-            .filter_map(|it| it.status)
-            .filter(|it| it.takes_part_in(term) && it.position >= position)
-            .count();
-        holding >= self.spec.borrow().majority()
+        self.majority(|it| {
+            it.status.is_some_and(|it| it.takes_part_in(term) && it.position >= position)
+        })
     }
 
     /// Waits until the fate of a write at `point` is certain.
--- a/crates/gullspar_group/src/member_view.rs
+++ b/crates/gullspar_group/src/member_view.rs
@@ -1,6 +1,6 @@
 //! What an instance has seen of a member.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use gullspar_model::MemberStatus;
 
@@ -21,4 +21,9 @@
     pub fn new(now: Instant) -> MemberView {
         MemberView { status: None, asked_at: now, heard_at: now, refusing: false }
     }
+
+    /// Whether the member was heard of less than `patience` before `now`.
+    pub(crate) fn is_recent(&self, now: Instant, patience: Duration) -> bool {
+        self.heard_at + patience > now
+    }
 }
