--- a/crates/gullspar_direct/src/admission_limit.rs
+++ b/crates/gullspar_direct/src/admission_limit.rs
@@ -16,8 +16,8 @@
     (2 * slots).div_ceil(instances).clamp(2, slots.max(2))
 }
 
-/// Connections that one instance keeps to a target, beside the one that it checks it with.
+/// Connections that one instance may keep to a target.
 pub(crate) fn connection_share(limits: GroupLimits, instances: usize) -> u32 {
     let instances = instances.max(1) as u32;
-    (limits.connections * PLANNED_PERCENT / 100 / instances).saturating_sub(1).max(1)
+    (limits.connections * PLANNED_PERCENT / 100 / instances).max(1)
 }
--- a/crates/gullspar_direct/src/attempt.rs
+++ b/crates/gullspar_direct/src/attempt.rs
@@ -160,6 +160,7 @@
         };
         let Some(answer) = answers.pop() else { return Err(End::Lost) };
         self.target.note_point(answer.point);
+        self.target.heard(clock.boot_now());
         if answer.result.is_ok() {
             self.target.learn(clock.now().saturating_duration_since(started));
         }
--- a/crates/gullspar_direct/src/connection_pool.rs
+++ b/crates/gullspar_direct/src/connection_pool.rs
@@ -21,11 +21,15 @@
 /// Pause after a target refused a further connection.
 const REFUSED_PAUSE: Duration = Duration::from_millis(30);
 
-/// How long a connection beyond this instance's share may lie idle.
+/// How long a connection may lie idle if another one does as well.
 ///
-/// Bursts may take more than the share, since seldom all instances have one at once; kept, those
-/// connections would be missing elsewhere.
-const SURPLUS_IDLE: Duration = Duration::from_millis(1500);
+/// A target keeps the connections of instances that lost power for three seconds. Unless half of what it
+/// takes is free, the instances that start again meanwhile are refused, seen as four seconds in which
+/// hardly anything is served.
+const SURPLUS_IDLE: Duration = Duration::from_millis(800);
+
+/// Connections beyond the share that a burst may open; seldom all instances have one at once.
+const BURST: u32 = 1;
 
 struct Idle {
     connection: PooledConnection,
@@ -82,20 +86,33 @@
         self.freed.notify(usize::MAX);
     }
 
-    /// Closes idle connections beyond the share that nobody wanted for a while.
+    /// Closes all but one of the idle connections that nobody wanted for a while.
     pub(crate) fn drop_surplus(&self) {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
-        while self.open.get() > self.share.get() {
-            let Some(first) = idle.first() else { return };
-            if now < first.since + SURPLUS_IDLE {
-                return;
-            }
+        while idle.len() > 1 && idle.first().is_some_and(|it| now >= it.since + SURPLUS_IDLE) {
             idle.remove(0);
             self.open.set(self.open.get() - 1);
         }
     }
 
+    /// Takes a connection for a check; `None` if all are in use by statements, which tell as much.
+    pub(crate) async fn take_for_check(
+        self: &Rc<Self>,
+        spec: &TargetSpec,
+        even_if_busy: bool,
+        deadline: Instant,
+    ) -> Option<Result<Lease, NotRun>> {
+        if let Some(connection) = self.take_idle(&BTreeMap::new()) {
+            let lease = Lease { pool: Rc::clone(self), connection: Some(connection), kept: false };
+            return Some(Ok(lease));
+        }
+        if self.open.get() > 0 && !even_if_busy {
+            return None;
+        }
+        Some(self.dial(spec, deadline).await)
+    }
+
     /// Takes a connection, one that holds `values` already if there is one.
     pub(crate) async fn take(
         self: &Rc<Self>,
@@ -112,7 +129,7 @@
                 });
             }
             let freed = self.freed.listen();
-            if self.open.get() < 2 * self.share.get() {
+            if self.open.get() < self.share.get() + BURST {
                 match self.dial(spec, deadline).await {
                     Ok(lease) => return Ok(lease),
                     Err(NotRun::Overloaded { .. }) => {
--- a/crates/gullspar_direct/src/target.rs
+++ b/crates/gullspar_direct/src/target.rs
@@ -112,6 +112,11 @@
         self.misses.get() >= DARK_AFTER
     }
 
+    /// Whether it answered anything since `instant`.
+    pub(crate) fn heard_since(&self, instant: BootInstant) -> bool {
+        self.heard.get().is_some_and(|at| at >= instant)
+    }
+
     /// Whether it ever answered a check.
     pub(crate) fn was_heard(&self) -> bool {
         self.heard.get().is_some()
--- a/crates/gullspar_direct/src/target_watch.rs
+++ b/crates/gullspar_direct/src/target_watch.rs
@@ -1,10 +1,11 @@
 //! Watching one target: whether it answers, whether it leads, and where its log ends.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use gullspar_border::within;
-use gullspar_statement::{FailureCode, TargetCommand, TargetLink};
+use gullspar_model::NotRun;
+use gullspar_statement::{FailureCode, TargetCommand, TransactionStatus};
 
 use crate::Borders;
 use crate::group::Group;
@@ -25,6 +26,9 @@
 /// How long opening the connection for checks may take; it queues for a slot behind statements.
 const OPEN_WITHIN: Duration = Duration::from_millis(300);
 
+/// Silence after which a target is checked on a connection of its own although statements use all others.
+const OVERDUE_AFTER: Duration = Duration::from_millis(250);
+
 /// Pause after a target refused the connection because it has too many.
 const FULL_PAUSE: Duration = Duration::from_millis(200);
 
@@ -32,15 +36,16 @@
 enum Check {
     Answered,
     Missed,
+    /// Statements use all connections, and were answered lately.
+    InUse,
     /// It answers, but takes no connection now.
     Full,
 }
 
 /// Watches `target` until it is removed from its group.
 pub(crate) async fn watch(borders: Borders, group: Rc<Group>, target: Rc<Target>) {
-    let mut link = None;
     while !target.removed.get() {
-        let check = check(&borders, &group, &target, &mut link).await;
+        let check = check(&borders, &group, &target).await;
         match check {
             Check::Answered => {
                 if target.is_dark() {
@@ -53,14 +58,13 @@
                 }
             }
             Check::Missed => {
-                link = None;
                 if target.missed() {
                     log::warn!(member = target.member().as_str(); "G0709 a target does not answer");
                     target.pool.drop_idle();
                     group.notify();
                 }
             }
-            Check::Full => {}
+            Check::Full | Check::InUse => {}
         }
         target.pool.drop_surplus();
         let woken = group.listen_check();
@@ -82,31 +86,23 @@
     }
 }
 
-async fn check(
-    borders: &Borders,
-    group: &Group,
-    target: &Target,
-    link: &mut Option<Box<dyn TargetLink>>,
-) -> Check {
+async fn check(borders: &Borders, group: &Group, target: &Target) -> Check {
+    let clock = &borders.clock;
     let spec = target.spec();
-    if link.is_none() {
-        let deadline = borders.clock.now() + OPEN_WITHIN;
-        match borders.dialer.open(&spec, deadline).await {
-            Ok(opened) => *link = Some(opened.link),
-            Err(gullspar_statement::OpenError::Refused(failure))
-                if failure.code != FailureCode::WrongTarget =>
-            {
-                return Check::Full;
-            }
-            Err(_) => return Check::Missed,
-        }
-    }
-    let Some(open) = link else { return Check::Missed };
-    let begun = borders.clock.boot_now();
-    let deadline: Instant = borders.clock.now() + ANSWER_WITHIN;
+    let overdue = !target.heard_since(clock.boot_now().minus(OVERDUE_AFTER));
+    let deadline = clock.now() + OPEN_WITHIN;
+    let mut lease = match target.pool.take_for_check(&spec, overdue, deadline).await {
+        None => return Check::InUse,
+        Some(Ok(lease)) => lease,
+        Some(Err(NotRun::Overloaded { .. })) => return Check::Full,
+        Some(Err(_)) => return Check::Missed,
+    };
+    let Some(connection) = lease.connection() else { return Check::Missed };
+    let begun = clock.boot_now();
+    let deadline = clock.now() + ANSWER_WITHIN;
     // Only a member that leads at this moment opens a plain transaction.
     let commands = vec![TargetCommand::Begin, TargetCommand::RollBack];
-    let Ok(Ok(answers)) = within(&*borders.clock, deadline, open.exchange(commands)).await else {
+    let Ok(Ok(answers)) = within(&**clock, deadline, connection.exchange(commands)).await else {
         return Check::Missed;
     };
     let Some(first) = answers.first() else { return Check::Missed };
@@ -114,9 +110,12 @@
     match (&first.result, first.point) {
         (Ok(_), Some(point)) => group.leads(&spec.member, point, begun),
         (Err(failure), _) if failure.code == FailureCode::ReadOnly => {
-            group.does_not_lead(&spec.member, borders.clock.now());
+            group.does_not_lead(&spec.member, clock.now());
         }
         _ => {}
     }
+    if answers.last().is_some_and(|it| it.status == TransactionStatus::Idle) {
+        lease.give_back();
+    }
     Check::Answered
 }
