Let one instance at a time promote in a group; bounded JSON logs and metrics

The last holder is now alone for its lease while it lives, instances tell each other of claims, and one that is leaving does not act.

--- a/crates/gullspar/src/serve.rs
+++ b/crates/gullspar/src/serve.rs
@@ -4,7 +4,8 @@
 use std::process::ExitCode;
 
 use gullspar_settings::DirectSettings;
-use logforth::append;
+use gullspar_telemetry::{BoundedAppend, LineWriter};
+use logforth::filter::rustlog::RustLogFilterBuilder;
 
 /// Runs the instance that `file` describes.
 pub(crate) fn serve(file: PathBuf) -> ExitCode {
@@ -15,11 +16,9 @@
             return ExitCode::FAILURE;
         }
     };
-    let filter =
-        logforth::filter::rustlog::RustLogFilterBuilder::from_default_env_or("info,tarpc=warn");
-    logforth::starter_log::builder()
-        .dispatch(|it| it.filter(filter.build()).append(append::Stdout::default()))
-        .apply();
+    let filter = RustLogFilterBuilder::from_default_env_or("info,tarpc=warn").build();
+    let append = BoundedAppend::new(LineWriter::start(std::io::stdout()));
+    logforth::starter_log::builder().dispatch(|it| it.filter(filter).append(append)).apply();
     let runtime = match compio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
         Err(err) => {
@@ -31,6 +30,7 @@
         compio::runtime::spawn(reread(file, settings.clone())).detach();
         gullspar_platform::serve(settings, gullspar_instance::termination()).await
     });
+    log::logger().flush();
     match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
--- a/crates/gullspar_direct/src/beacon.rs
+++ b/crates/gullspar_direct/src/beacon.rs
@@ -4,6 +4,8 @@
 
 use gullspar_model::{DataCentre, GroupName, InstanceId, MemberName, record};
 
+use crate::ClaimNote;
+
 record! {
     /// How an instance sees the leader of a group.
     #[derive(Copy)]
@@ -25,6 +27,8 @@
         pub group: GroupName,
         pub leader: Option<MemberName>,
         pub sighting: Sighting,
+        /// The newest claim that the sender knows.
+        pub claim: Option<ClaimNote>,
     }
 }
 
--- a/crates/gullspar_direct/src/borders.rs
+++ b/crates/gullspar_direct/src/borders.rs
@@ -8,7 +8,7 @@
 use gullspar_border::{Clock, Entropy, PeerError};
 use gullspar_statement::TargetDialer;
 
-use crate::{Beacon, Claims, Promoter, Snapshot, SnapshotRequest};
+use crate::{Beacon, Claims, Promoter, Snapshot, SnapshotRequest, Stats};
 
 /// The ways to other instances.
 pub trait PeerChannel {
@@ -33,4 +33,5 @@
     pub claims: Rc<dyn Claims>,
     pub promoter: Rc<dyn Promoter>,
     pub peers: Rc<dyn PeerChannel>,
+    pub stats: Rc<Stats>,
 }
--- a/crates/gullspar_direct/src/caller_session.rs
+++ b/crates/gullspar_direct/src/caller_session.rs
@@ -34,6 +34,8 @@
     idle_deadline: Option<Instant>,
     /// How the statement before was served.
     trace: Trace,
+    /// What the statement before did to data, if it was for a target.
+    ran: Option<Access>,
 }
 
 /// What a session waits for.
@@ -59,6 +61,7 @@
                 route: None,
                 idle_deadline: None,
                 trace: Trace::default(),
+                ran: None,
             };
             if let Err(err) = session.serve().await {
                 session.explain(&err).await;
@@ -206,6 +209,10 @@
             self.idle_deadline = (idle > 0).then(|| now + Duration::from_millis(idle));
         }
         let took = self.proxy.borders.clock.now().saturating_duration_since(started);
+        if let Some(access) = self.ran.take() {
+            let result = answer.result.as_ref().map(|_| ());
+            self.proxy.borders.stats.statement(access, &self.trace, result, took);
+        }
         match &answer.result {
             Ok(Some(_)) => {
                 log::info!(request = id.as_str(), service = self.service.as_str(), took_ms = took.as_millis() as u64, trace:% = self.trace; "G0733 a statement was served");
@@ -288,6 +295,8 @@
         let Some(route) = self.route.take() else {
             return self.malformed(&statement.id, "no transaction is open");
         };
+        self.ran = Some(Access::Write);
+        self.trace = transaction.trace.clone();
         let req = self.request(statement, Access::Read, None, &route);
         let ended = transaction.commit(&self.proxy, &req).await;
         self.own_commit = self.own_commit.max(ended.commit);
@@ -301,6 +310,7 @@
         access: Access,
         prepared: Option<(Definition, arcstr::ArcStr)>,
     ) -> Answer {
+        self.ran = Some(access);
         if let (Some(_), Some(route)) = (&self.transaction, self.route.clone()) {
             let req = self.request(statement, access, prepared, &route);
             let proxy = Rc::clone(&self.proxy);
--- /dev/null
+++ b/crates/gullspar_direct/src/claim_book.rs
@@ -0,0 +1,84 @@
+//! Who promoted last in a group, and who may next.
+
+use std::time::Duration;
+
+use gullspar_border::BootInstant;
+use gullspar_model::{InstanceId, record};
+
+use crate::FencingToken;
+
+record! {
+    /// What instances tell each other of the newest claim they know.
+    pub struct ClaimNote {
+        pub token: FencingToken,
+        pub holder: InstanceId,
+        /// How long ago its holder acted, in milliseconds. A note that is read late makes the claim look
+        /// younger than it is, which only makes others wait.
+        pub age_ms: u64,
+    }
+}
+
+/// The newest claim that an instance knows of one group.
+#[derive(Clone, Debug)]
+pub struct ClaimBook {
+    lease: Duration,
+    newest: Option<Known>,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    token: FencingToken,
+    holder: InstanceId,
+    acted_at: BootInstant,
+}
+
+impl ClaimBook {
+    /// An empty book; a holder that lives is alone for `lease` after it acted.
+    pub fn new(lease: Duration) -> ClaimBook {
+        ClaimBook { lease, newest: None }
+    }
+
+    /// Notes that `holder` acted with `token` at `at`, or that the claim was first seen then.
+    pub fn note(&mut self, token: FencingToken, holder: InstanceId, at: BootInstant) {
+        match &mut self.newest {
+            Some(known) if known.token > token => {}
+            Some(known) if known.token == token => known.acted_at = known.acted_at.max(at),
+            _ => self.newest = Some(Known { token, holder, acted_at: at }),
+        }
+    }
+
+    /// Takes what another instance told at `now`.
+    pub fn take(&mut self, note: &ClaimNote, now: BootInstant) {
+        if self.newest.as_ref().is_some_and(|it| it.token >= note.token) {
+            return;
+        }
+        self.note(note.token, note.holder.clone(), now.minus(Duration::from_millis(note.age_ms)));
+    }
+
+    /// What to tell others at `now`.
+    pub fn to_tell(&self, now: BootInstant) -> Option<ClaimNote> {
+        let known = self.newest.as_ref()?;
+        let age_ms = now.since(known.acted_at).as_millis() as u64;
+        Some(ClaimNote { token: known.token, holder: known.holder.clone(), age_ms })
+    }
+
+    /// Who acted last.
+    pub fn holder(&self) -> Option<&InstanceId> {
+        self.newest.as_ref().map(|it| &it.holder)
+    }
+
+    /// Whether `own` may act at `now`.
+    ///
+    /// Two instances that promote by turns would each undo what the other began, seen as a group that
+    /// changes its leader several times in a few seconds. So the last holder goes on alone for a
+    /// while, unless it is gone.
+    pub fn may_act(
+        &self,
+        own: &InstanceId,
+        now: BootInstant,
+        alive: impl Fn(&InstanceId) -> bool,
+    ) -> bool {
+        let Some(known) = &self.newest else { return true };
+        known.holder == *own || !alive(&known.holder) || now.since(known.acted_at) >= self.lease
+    }
+}
--- a/crates/gullspar_direct/src/failover.rs
+++ b/crates/gullspar_direct/src/failover.rs
@@ -14,7 +14,10 @@
 };
 use crate::group::Group;
 use crate::target::Target;
-use crate::{Ballot, Borders, Claim, ClaimError, FencingToken, PeerTable, PromoteError, Verdict};
+use crate::{
+    Ballot, Borders, Claim, ClaimError, FencingToken, PeerTable, Phase, PromoteError, Shutdown,
+    Verdict,
+};
 
 /// Why a group needs another leader.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,6 +38,7 @@
     pub(crate) own: InstanceId,
     pub(crate) peers: Rc<PeerTable>,
     pub(crate) group: Rc<Group>,
+    pub(crate) shutdown: Rc<Shutdown>,
     /// Until then this instance has not looked long enough to judge.
     pub(crate) settle_until: Instant,
 }
@@ -65,7 +69,7 @@
                     clock.now()
                 }
             };
-            if clock.now() >= began + TURN * self.rank() {
+            if clock.now() >= began + TURN * self.rank() && self.may_act() {
                 self.replace(cause, began).await;
             }
         }
@@ -74,7 +78,8 @@
     /// Why another leader is needed now, if it is.
     fn cause(&self) -> Option<Cause> {
         let now = self.borders.clock.now();
-        if now < self.settle_until {
+        let leaving = self.shutdown.phase() != Phase::Serving;
+        if now < self.settle_until || leaving {
             return None;
         }
         let leader = self.group.leader();
@@ -102,11 +107,21 @@
         ballot.verdict() == Verdict::Replace
     }
 
-    /// This instance's place in the order in which instances act for this group.
+    /// Whether no other instance is in the middle of promoting here.
+    fn may_act(&self) -> bool {
+        let now = self.borders.clock.boot_now();
+        // One on its way out may be in the middle of a promotion as well.
+        let running = self.peers.running(now);
+        self.group.claims().may_act(&self.own, now, |it| running.contains(it))
+    }
+
+    /// This instance's place in the order in which instances act for this group: whoever acted last
+    /// comes first, the others by a hash that spreads the groups over them.
     fn rank(&self) -> u32 {
         let mut alive = self.peers.alive(self.borders.clock.boot_now());
         alive.push(self.own.clone());
-        alive.sort_by_key(|it| self.weight(it));
+        let last = self.group.claims().holder().cloned();
+        alive.sort_by_key(|it| (Some(it) != last.as_ref(), self.weight(it)));
         alive.iter().position(|it| *it == self.own).unwrap_or(0) as u32
     }
 
@@ -125,6 +140,12 @@
             clock.sleep_until(clock.now() + LOOK_EVERY).await;
             return;
         };
+        if let Some((token, claim)) = &standing {
+            self.group.note_claim(*token, &claim.holder, clock.boot_now());
+            if !self.may_act() {
+                return;
+            }
+        }
         let over = standing.as_ref().map(|(token, _)| *token);
         let claim = Claim {
             holder: self.own.clone(),
@@ -137,17 +158,36 @@
             log::info!(group = self.group.name.as_str(); "G0716 the leader is back; nothing is ordered");
             return;
         }
-        match self.borders.promoter.promote(&self.group.name, &claim, token).await {
+        self.group.note_claim(token, &self.own, clock.boot_now());
+        let ordered = self.borders.promoter.promote(&self.group.name, &claim, token).await;
+        self.group.note_claim(token, &self.own, clock.boot_now());
+        match ordered {
             Ok(()) => {
+                self.borders.stats.promotion("ordered");
+                self.count_rolled_back(&candidate);
                 log::info!(group = self.group.name.as_str(), member = claim.member.as_str(), token = token.0; "G0717 a promotion is ordered");
                 self.wait_for(&claim.member).await;
             }
             Err(PromoteError::NoAnswer(reason)) => {
+                self.borders.stats.promotion("unanswered");
                 // It may be carried out yet, and more than once does no harm.
                 log::warn!(group = self.group.name.as_str(), token = token.0, reason = reason.as_str(); "G0718 a promotion was not answered");
                 self.wait_for(&claim.member).await;
             }
-            Err(err) => self.failed("promoting", &err.to_string()).await,
+            Err(err) => {
+                self.borders.stats.promotion("refused");
+                self.failed("promoting", &err.to_string()).await;
+            }
+        }
+    }
+
+    /// Counts the commits that the old leader acknowledged and its successor was not seen to have.
+    fn count_rolled_back(&self, candidate: &Candidate) {
+        let (Some(had), Some(has)) = (self.group.newest_reading(), candidate.point) else { return };
+        let missing = had.point.position.0.saturating_sub(has.position.0);
+        if had.point.term == has.term && missing > 0 {
+            log::warn!(group = self.group.name.as_str(), commits = missing; "G0744 a failover may undo acknowledged commits");
+            self.borders.stats.rolled_back(missing);
         }
     }
 
--- a/crates/gullspar_direct/src/group.rs
+++ b/crates/gullspar_direct/src/group.rs
@@ -1,16 +1,16 @@
 //! One group of targets and who leads it.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, RefCell, RefMut};
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use event_listener::{Event, EventListener};
 use gullspar_border::BootInstant;
-use gullspar_model::{GroupName, LogPoint, MemberName, Term};
+use gullspar_model::{GroupName, InstanceId, LogPoint, MemberName, Term};
 
 use crate::target::Target;
-use crate::{GroupView, Reading, Readings, Sighting};
+use crate::{ClaimBook, FencingToken, GroupView, Reading, Readings, Sighting};
 
 /// Who leads, as it said itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -28,12 +28,13 @@
     newest_term: Cell<Term>,
     leaderless_since: Cell<Instant>,
     readings: RefCell<Readings>,
+    claims: RefCell<ClaimBook>,
     changed: Event,
     check_now: Event,
 }
 
 impl Group {
-    pub(crate) fn new(name: GroupName, now: Instant) -> Rc<Group> {
+    pub(crate) fn new(name: GroupName, now: Instant, lease: Duration) -> Rc<Group> {
         Rc::new(Group {
             name,
             targets: RefCell::default(),
@@ -41,6 +42,7 @@
             newest_term: Cell::new(Term(0)),
             leaderless_since: Cell::new(now),
             readings: RefCell::default(),
+            claims: RefCell::new(ClaimBook::new(lease)),
             changed: Event::new(),
             check_now: Event::new(),
         })
@@ -120,11 +122,7 @@
     }
 
     /// The oldest reading that covers everything older than `max_age`.
-    pub(crate) fn reading_within(
-        &self,
-        now: BootInstant,
-        max_age: std::time::Duration,
-    ) -> Option<Reading> {
+    pub(crate) fn reading_within(&self, now: BootInstant, max_age: Duration) -> Option<Reading> {
         self.readings.borrow().oldest_within(now, max_age)
     }
 
@@ -133,8 +131,23 @@
         self.readings.borrow().newest()
     }
 
+    /// What is known of the group's claims.
+    pub(crate) fn claims(&self) -> RefMut<'_, ClaimBook> {
+        self.claims.borrow_mut()
+    }
+
+    /// Notes that `holder` acted with `token` at `at`.
+    pub(crate) fn note_claim(&self, token: FencingToken, holder: &InstanceId, at: BootInstant) {
+        self.claims().note(token, holder.clone(), at);
+    }
+
     /// What other instances are told of this group.
-    pub(crate) fn view(&self, now: Instant, settle_until: Instant) -> GroupView {
+    pub(crate) fn view(
+        &self,
+        now: Instant,
+        boot_now: BootInstant,
+        settle_until: Instant,
+    ) -> GroupView {
         let leader = self.leader().map(|it| it.member);
         let sighting = match &leader {
             Some(member) => match self.target(member) {
@@ -144,7 +157,8 @@
             None if now < settle_until => Sighting::Unsure,
             None => Sighting::NoLeader,
         };
-        GroupView { group: self.name.clone(), leader, sighting }
+        let claim = self.claims.borrow().to_tell(boot_now);
+        GroupView { group: self.name.clone(), leader, sighting, claim }
     }
 
     /// Something about the group changed.
--- a/crates/gullspar_direct/src/peer_table.rs
+++ b/crates/gullspar_direct/src/peer_table.rs
@@ -72,6 +72,11 @@
         self.select(now, ALIVE_FOR, |it| (!it.leaving).then(|| it.from.clone()))
     }
 
+    /// Names of the instances that are alive, those on their way out included.
+    pub fn running(&self, now: BootInstant) -> Vec<InstanceId> {
+        self.select(now, ALIVE_FOR, |it| Some(it.from.clone()))
+    }
+
     /// Instances that count in a majority, this one included.
     pub fn counted(&self, now: BootInstant) -> usize {
         1 + self.select(now, COUNTS_FOR, |it| (!it.leaving).then_some(())).len()
--- a/crates/gullspar_direct/src/proxy.rs
+++ b/crates/gullspar_direct/src/proxy.rs
@@ -12,6 +12,7 @@
 use crate::admission_limit::{connection_share, statements_at_once};
 use crate::failover;
 use crate::group::Group;
+use crate::stats::Levels;
 use crate::target::Target;
 use crate::target_watch;
 use crate::{
@@ -21,6 +22,9 @@
 /// Between two beacons to each contact.
 const BEACON_EVERY: Duration = Duration::from_millis(200);
 
+/// Least time between two beacons, however much happens.
+const BEACON_SPACING: Duration = Duration::from_millis(40);
+
 /// Contacts that get each beacon; more instances than this are reached in turns.
 const BEACON_FANOUT: usize = 10;
 
@@ -53,6 +57,8 @@
     pub data_centre: DataCentre,
     /// Where other instances reach it.
     pub address: SocketAddr,
+    /// How long the last holder of a group's claim is alone in promoting there.
+    pub claim_lease: Duration,
 }
 
 /// Everything that serving callers needs.
@@ -61,7 +67,7 @@
     pub(crate) own: Identity,
     pub directory: Rc<Directory>,
     pub peers: Rc<PeerTable>,
-    pub shutdown: Shutdown,
+    pub shutdown: Rc<Shutdown>,
     groups: RefCell<BTreeMap<GroupName, Rc<Group>>>,
     store_heard: RefCell<Option<BootInstant>>,
     started: Instant,
@@ -76,7 +82,7 @@
             own,
             directory: Rc::default(),
             peers: Rc::new(PeerTable::new(seeds)),
-            shutdown: Shutdown::default(),
+            shutdown: Rc::default(),
             groups: RefCell::default(),
             store_heard: RefCell::new(None),
             started,
@@ -93,6 +99,7 @@
             let now = self.borders.clock.now();
             let lapse = self.directory.drop_lapsed(now);
             self.tend_groups();
+            self.borders.stats.levels(&self.levels());
             let until = lapse.map_or(now + TEND_EVERY, |it| it.min(now + TEND_EVERY));
             // Either way everything is looked at again.
             let _ = within(&*self.borders.clock, until, changed).await;
@@ -211,17 +218,30 @@
         }
     }
 
+    fn levels(&self) -> Levels {
+        let groups = self.groups();
+        let leaderless = groups.iter().filter(|it| it.working_leader().is_none()).count();
+        Levels {
+            sessions: self.shutdown.sessions() as u64,
+            configuration: self.directory.version(),
+            cut_off: self.shutdown.cut_off() != CutOff::No,
+            leaderless: leaderless as u64,
+            instances: 1 + self.peers.alive(self.borders.clock.boot_now()).len() as u64,
+        }
+    }
+
     fn group_or_new(&self, name: &GroupName) -> Rc<Group> {
         if let Some(group) = self.group(name) {
             return group;
         }
-        let group = Group::new(name.clone(), self.borders.clock.now());
+        let group = Group::new(name.clone(), self.borders.clock.now(), self.own.claim_lease);
         self.groups.borrow_mut().insert(name.clone(), Rc::clone(&group));
         let keeper = failover::Keeper {
             borders: self.borders.clone(),
             own: self.own.id.clone(),
             peers: Rc::clone(&self.peers),
             group: Rc::clone(&group),
+            shutdown: Rc::clone(&self.shutdown),
             settle_until: self.started + SETTLE,
         };
         compio::runtime::spawn(keeper.run()).detach();
@@ -241,7 +261,14 @@
             }
             turn = turn.wrapping_add(count);
             self.peers.forget_silent(clock.boot_now());
-            clock.sleep_until(clock.now() + BEACON_EVERY).await;
+            let sent = clock.now();
+            let groups = self.groups();
+            let changed = futures::future::select_all(
+                groups.iter().map(|it| it.listen()).chain([self.directory.listen()]),
+            );
+            // A leader that fell silent is news: a promotion waits for the views of most instances.
+            let _ = within(&*clock, sent + BEACON_EVERY, changed).await;
+            clock.sleep_until(sent + BEACON_SPACING).await;
         }
     }
 
@@ -249,7 +276,8 @@
     fn beacon(&self) -> Beacon {
         let clock = &self.borders.clock;
         let (now, boot_now) = (clock.now(), clock.boot_now());
-        let views = self.groups().iter().map(|it| it.view(now, self.started + SETTLE)).collect();
+        let views =
+            self.groups().iter().map(|it| it.view(now, boot_now, self.started + SETTLE)).collect();
         let mut known = self.peers.alive_addresses(boot_now);
         known.truncate(BEACON_KNOWN);
         Beacon {
@@ -304,9 +332,16 @@
 
     /// Takes a beacon of another instance.
     pub fn take_beacon(&self, beacon: Beacon) {
-        if beacon.from != self.own.id {
-            self.peers.take(beacon, self.borders.clock.boot_now());
+        if beacon.from == self.own.id {
+            return;
+        }
+        let now = self.borders.clock.boot_now();
+        for view in &beacon.views {
+            if let (Some(claim), Some(group)) = (&view.claim, self.group(&view.group)) {
+                group.claims().take(claim, now);
+            }
         }
+        self.peers.take(beacon, now);
     }
 
     /// What another instance lacks.
--- /dev/null
+++ b/crates/gullspar_direct/src/stats.rs
@@ -0,0 +1,145 @@
+//! Counters and latencies of one instance.
+
+use std::time::Duration;
+
+use gullspar_model::Access;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
+
+use gullspar_statement::{Failure, FailureCode};
+
+use crate::trace::Trace;
+
+/// Bounds of the latency histograms, in seconds; callers' objectives lie between 0.1 and 0.8.
+const SECONDS: [f64; 12] = [0.005, 0.01, 0.02, 0.04, 0.08, 0.12, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4];
+
+/// The instruments.
+pub struct Stats {
+    statements: Counter<u64>,
+    statement_seconds: Histogram<f64>,
+    place_seconds: Histogram<f64>,
+    transactions_lost: Counter<u64>,
+    promotions: Counter<u64>,
+    targets_dark: Counter<u64>,
+    rolled_back_points: Counter<u64>,
+    sessions: Gauge<u64>,
+    configuration: Gauge<u64>,
+    cut_off: Gauge<u64>,
+    leaderless: Gauge<u64>,
+    instances: Gauge<u64>,
+}
+
+/// What is measured at intervals.
+pub(crate) struct Levels {
+    pub(crate) sessions: u64,
+    pub(crate) configuration: u64,
+    pub(crate) cut_off: bool,
+    pub(crate) leaderless: u64,
+    pub(crate) instances: u64,
+}
+
+impl Stats {
+    /// Makes all instruments.
+    pub fn new(meter: &Meter) -> Stats {
+        let counter = |name: &'static str, text: &'static str| {
+            meter.u64_counter(name).with_description(text).build()
+        };
+        let gauge = |name: &'static str, text: &'static str| {
+            meter.u64_gauge(name).with_description(text).build()
+        };
+        let histogram = |name: &'static str, text: &'static str| {
+            let builder = meter.f64_histogram(name).with_description(text);
+            builder.with_boundaries(SECONDS.to_vec()).with_unit("s").build()
+        };
+        Stats {
+            statements: counter("gullspar_statements", "Statements answered."),
+            statement_seconds: histogram(
+                "gullspar_statement_duration",
+                "From a statement's arrival to its answer.",
+            ),
+            place_seconds: histogram(
+                "gullspar_place_wait",
+                "From asking for a place at a target to having one.",
+            ),
+            transactions_lost: counter(
+                "gullspar_transactions_lost",
+                "Transactions whose connection was lost.",
+            ),
+            promotions: counter("gullspar_promotions", "Promotions ordered, by result."),
+            targets_dark: counter("gullspar_targets_dark", "Times that a target fell silent."),
+            rolled_back_points: counter(
+                "gullspar_rolled_back_commits",
+                "Commits that a failover may have undone: those between the new leader's log and the \
+                 newest reading of the old one.",
+            ),
+            sessions: gauge("gullspar_sessions", "Callers connected."),
+            configuration: gauge(
+                "gullspar_configuration_version",
+                "Version of the configuration in force.",
+            ),
+            cut_off: gauge("gullspar_cut_off", "1 while this instance is cut off."),
+            leaderless: gauge("gullspar_groups_without_leader", "Groups without a usable leader."),
+            instances: gauge("gullspar_instances", "Instances alive, this one included."),
+        }
+    }
+
+    pub(crate) fn statement(
+        &self,
+        access: Access,
+        trace: &Trace,
+        result: Result<(), &Failure>,
+        took: Duration,
+    ) {
+        let access = KeyValue::new("access", access_word(access));
+        let part = KeyValue::new("part", if trace.on_leader { "leader" } else { "replica" });
+        let outcome = KeyValue::new("outcome", result.err().map_or("done", |it| word(&it.code)));
+        self.statement_seconds.record(took.as_secs_f64(), &[access.clone(), part.clone()]);
+        self.statements.add(1, &[access, part, outcome]);
+    }
+
+    pub(crate) fn place(&self, waited: Duration) {
+        self.place_seconds.record(waited.as_secs_f64(), &[]);
+    }
+
+    pub(crate) fn transaction_lost(&self) {
+        self.transactions_lost.add(1, &[]);
+    }
+
+    pub(crate) fn promotion(&self, result: &'static str) {
+        self.promotions.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    pub(crate) fn target_dark(&self) {
+        self.targets_dark.add(1, &[]);
+    }
+
+    pub(crate) fn rolled_back(&self, commits: u64) {
+        self.rolled_back_points.add(commits, &[]);
+    }
+
+    pub(crate) fn levels(&self, levels: &Levels) {
+        self.sessions.record(levels.sessions, &[]);
+        self.configuration.record(levels.configuration, &[]);
+        self.cut_off.record(u64::from(levels.cut_off), &[]);
+        self.leaderless.record(levels.leaderless, &[]);
+        self.instances.record(levels.instances, &[]);
+    }
+}
+
+fn access_word(access: Access) -> &'static str {
+    match access {
+        Access::Read => "read",
+        Access::Write => "write",
+    }
+}
+
+fn word(code: &FailureCode) -> &'static str {
+    match code {
+        FailureCode::Congested | FailureCode::TooManyConnections => "not_run",
+        FailureCode::RolledBack => "rolled_back",
+        FailureCode::Unknown => "unknown",
+        FailureCode::TimedOut => "timed_out",
+        FailureCode::Failed => "failed",
+        _ => "refused",
+    }
+}
--- a/crates/gullspar_direct/src/target.rs
+++ b/crates/gullspar_direct/src/target.rs
@@ -4,14 +4,14 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use gullspar_border::BootInstant;
+use gullspar_border::{BootInstant, Clock};
 use gullspar_model::{LogPoint, MemberName, NotRun};
 use gullspar_statement::TargetSpec;
 use gullspar_target::{Admission, Permit};
 
-use crate::Borders;
 use crate::connection_pool::ConnectionPool;
 use crate::request::Request;
+use crate::{Borders, Stats};
 
 /// Checks in a row without an answer after which a target counts as dark.
 ///
@@ -43,6 +43,8 @@
     avoid_until: Cell<Option<Instant>>,
     behind: Cell<Option<(LogPoint, Instant)>>,
     pub(crate) removed: Cell<bool>,
+    clock: Rc<dyn Clock>,
+    stats: Rc<Stats>,
 }
 
 /// Counts a statement as in flight while it lives.
@@ -66,12 +68,17 @@
             avoid_until: Cell::new(None),
             behind: Cell::new(None),
             removed: Cell::new(false),
+            clock: Rc::clone(&borders.clock),
+            stats: Rc::clone(&borders.stats),
         })
     }
 
     /// Waits for the right to run `req` here.
     pub(crate) async fn admit(&self, req: &Request) -> Result<Permit, NotRun> {
-        self.admission.enter_by(req.priority, req.objective, req.deadline).await
+        let asked = self.clock.now();
+        let permit = self.admission.enter_by(req.priority, req.objective, req.deadline).await?;
+        self.stats.place(self.clock.now().saturating_duration_since(asked));
+        Ok(permit)
     }
 
     pub(crate) fn spec(&self) -> Rc<TargetSpec> {
--- a/crates/gullspar_direct/src/transaction.rs
+++ b/crates/gullspar_direct/src/transaction.rs
@@ -133,7 +133,10 @@
             let result = around.run_raw(req, permit, lease, None).await;
             let (answer, lease) = match result {
                 Ok(answered) => answered,
-                Err(end) => return self.lost(req, &end),
+                Err(end) => {
+                    proxy.borders.stats.transaction_lost();
+                    return self.lost(req, &end);
+                }
             };
             if let Some(lease) = lease {
                 self.held = Some(Held { around, lease });
--- a/crates/gullspar_net/src/lib.rs
+++ b/crates/gullspar_net/src/lib.rs
@@ -4,6 +4,7 @@
 mod closing_transport;
 mod datagram_peers;
 mod http_platform;
+mod metrics_server;
 mod peer_codec;
 mod peer_server;
 mod peer_service;
@@ -17,6 +18,7 @@
 
 pub use datagram_peers::{DatagramPeers, receive_beacons, serve_snapshots};
 pub use http_platform::HttpPlatform;
+pub use metrics_server::serve_metrics;
 pub use peer_server::serve_peers;
 pub use platform_types::{InstanceList, ObjectList, PutBody, PutReply, StoredInstance, WireObject};
 pub use system_clock::SystemClock;
--- a/crates/gullspar_operator/src/lib.rs
+++ b/crates/gullspar_operator/src/lib.rs
@@ -13,9 +13,9 @@
 
 pub use change::Change;
 pub use confirm::{ConfirmError, Confirmed};
+pub use gullspar_telemetry::MetricsError;
 pub use http::router;
 pub use intent::Intent;
-pub use metrics::MetricsError;
 pub use operator::{Operator, OwnReports};
 pub use plan::{Plan, PlanError};
 pub use status::{InstanceStatus, ServiceStatus, Status};
--- a/crates/gullspar_operator/src/metrics.rs
+++ b/crates/gullspar_operator/src/metrics.rs
@@ -3,22 +3,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use gullspar_border::{InstanceReport, MemberReport, OutcomeCount};
+use gullspar_telemetry::{MetricsError, MetricsRegistry};
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{AsyncInstrument, Meter, MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
-use quick_error::quick_error;
-
-quick_error! {
-    /// Why metrics can't be served.
-    #[derive(Debug)]
-    pub enum MetricsError {
-        /// The exporter could not be made.
-        Exporter(reason: String) {
-            display("the metrics exporter failed: {reason}")
-        }
-    }
-}
+use opentelemetry::metrics::{AsyncInstrument, Meter};
 
 /// The report that instruments read; instruments may be read on any thread, the instance's state may not.
 type Snapshot = Arc<Mutex<Option<InstanceReport>>>;
@@ -26,34 +13,22 @@
 /// The instruments and what they read.
 pub(crate) struct Metrics {
     snapshot: Snapshot,
-    registry: Registry,
-    /// Instruments live as long as their provider.
-    _provider: SdkMeterProvider,
+    registry: MetricsRegistry,
 }
 
 impl Metrics {
     /// Makes all instruments.
     pub(crate) fn new() -> Result<Metrics, MetricsError> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .build()
-            .map_err(|err| MetricsError::Exporter(err.to_string()))?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let registry = MetricsRegistry::new()?;
         let snapshot = Snapshot::default();
-        instruments(&provider.meter("gullspar"), &snapshot);
-        Ok(Metrics { snapshot, registry, _provider: provider })
+        instruments(&registry.meter(), &snapshot);
+        Ok(Metrics { snapshot, registry })
     }
 
     /// Writes `report` as Prometheus text.
     pub(crate) fn page(&self, report: InstanceReport) -> Result<String, MetricsError> {
         *self.snapshot.lock().unwrap_or_else(PoisonError::into_inner) = Some(report);
-        let mut page = Vec::new();
-        TextEncoder::new()
-            .encode(&self.registry.gather(), &mut page)
-            .map_err(|err| MetricsError::Exporter(err.to_string()))?;
-        Ok(String::from_utf8_lossy(&page).into_owned())
+        self.registry.page()
     }
 }
 
--- a/crates/gullspar_operator/src/operator.rs
+++ b/crates/gullspar_operator/src/operator.rs
@@ -5,8 +5,9 @@
 use gullspar_border::{BurnSeries, InstanceReport, ObjectVersion, PlatformError};
 use gullspar_fleet::Fleet;
 use gullspar_model::{ServiceName, ServiceObject};
+use gullspar_telemetry::MetricsError;
 
-use crate::metrics::{Metrics, MetricsError};
+use crate::metrics::Metrics;
 use crate::{Change, Intent, Plan, PlanError};
 
 /// The configuration of a service as the platform has it.
--- a/crates/gullspar_settings/src/direct_settings.rs
+++ b/crates/gullspar_settings/src/direct_settings.rs
@@ -31,6 +31,9 @@
         pub promotion_address: SocketAddr,
         /// Address of `/metrics`.
         pub metrics_address: SocketAddr,
+        /// Milliseconds for which the instance that promoted last in a group is alone in promoting there,
+        /// while it lives.
+        pub claim_lease_ms: u64 = "3000",
         /// Seconds between being told to end and being killed.
         pub grace_s: Seconds = "6",
     }
