--- a/crates/gullspar/src/check.rs
+++ b/crates/gullspar/src/check.rs
@@ -3,20 +3,33 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use gullspar_settings::{InstanceSettings, reference};
+use gullspar_settings::{DirectSettings, Findings, InstanceSettings, reference};
 
 /// Reads a settings file, or tells everything that is wrong with it.
 pub(crate) fn read(file: &Path) -> Result<InstanceSettings, String> {
+    read_as(file, InstanceSettings::parse)
+}
+
+/// Like [`read`], for an instance that connects to its targets directly.
+pub(crate) fn read_direct(file: &Path) -> Result<DirectSettings, String> {
+    read_as(file, DirectSettings::parse)
+}
+
+fn read_as<T>(
+    file: &Path,
+    parse: impl FnOnce(&str, &str) -> Result<T, Findings>,
+) -> Result<T, String> {
     let name = file.display().to_string();
     let text = std::fs::read_to_string(file).map_err(|err| format!("{name}: {err}"))?;
-    InstanceSettings::parse(&name, &text).map_err(|findings| findings.to_string())
+    parse(&name, &text).map_err(|findings| findings.to_string())
 }
 
 /// Checks a settings file.
-pub(crate) fn check(file: PathBuf) -> ExitCode {
-    match read(&file) {
-        Ok(settings) => {
-            println!("{}: settings of instance {} are sound", file.display(), settings.id);
+pub(crate) fn check(file: PathBuf, direct: bool) -> ExitCode {
+    let id = if direct { read_direct(&file).map(|it| it.id) } else { read(&file).map(|it| it.id) };
+    match id {
+        Ok(id) => {
+            println!("{}: settings of instance {id} are sound", file.display());
             ExitCode::SUCCESS
         }
         Err(text) => {
@@ -27,7 +40,13 @@
 }
 
 /// Prints the reference of all options.
-pub(crate) fn print_reference() -> ExitCode {
-    print!("{}", reference("Settings of an instance", &InstanceSettings::options()));
+pub(crate) fn print_reference(direct: bool) -> ExitCode {
+    let page = if direct {
+        let title = "Settings of an instance that connects directly";
+        reference(title, &DirectSettings::options())
+    } else {
+        reference("Settings of an instance", &InstanceSettings::options())
+    };
+    print!("{page}");
     ExitCode::SUCCESS
 }
--- a/crates/gullspar/src/command_line.rs
+++ b/crates/gullspar/src/command_line.rs
@@ -2,7 +2,7 @@
 
 use std::path::PathBuf;
 
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
 /// The whole command line.
 pub(crate) fn command() -> Command {
@@ -11,6 +11,10 @@
         .help("Settings of the instance: JSON with comments, see docs/settings.md")
         .required(true)
         .value_parser(value_parser!(PathBuf));
+    let direct = Arg::new("direct")
+        .long("direct")
+        .help("For an instance that connects to its targets directly (`serve`)")
+        .action(ArgAction::SetTrue);
     Command::new("gullspar")
         .version(env!("CARGO_PKG_VERSION"))
         .about("A database proxy with session consistency: one entry instance")
@@ -24,14 +28,22 @@
         .subcommand(
             Command::new("check")
                 .about("Checks a settings file and reports every finding with its place")
-                .arg(file.clone()),
+                .arg(file.clone())
+                .arg(direct.clone()),
         )
         .subcommand(
             Command::new("serve")
                 .about("Runs an instance that connects to its targets directly, until SIGTERM")
                 .arg(file.clone()),
         )
-        .subcommand(Command::new("settings").about("Prints the reference of all settings"))
+        .subcommand(
+            Command::new("settings").about("Prints the reference of all settings").arg(direct),
+        )
+}
+
+/// Whether a subcommand is about instances that connect directly.
+pub(crate) fn direct(args: &ArgMatches) -> bool {
+    args.get_flag("direct")
 }
 
 /// The settings file of a subcommand.
--- a/crates/gullspar/src/main.rs
+++ b/crates/gullspar/src/main.rs
@@ -12,8 +12,8 @@
     match matches.subcommand() {
         Some(("run", args)) => run::run(command_line::file(args)),
         Some(("serve", args)) => serve::serve(command_line::file(args)),
-        Some(("check", args)) => check::check(command_line::file(args)),
-        Some(("settings", _)) => check::print_reference(),
+        Some(("check", args)) => check::check(command_line::file(args), command_line::direct(args)),
+        Some(("settings", args)) => check::print_reference(command_line::direct(args)),
         // The command line accepts no other.
         _ => ExitCode::FAILURE,
     }
--- a/crates/gullspar/src/serve.rs
+++ b/crates/gullspar/src/serve.rs
@@ -1,15 +1,17 @@
 //! Running one instance that connects to its targets directly.
 
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use gullspar_settings::DirectSettings;
 use gullspar_telemetry::{BoundedAppend, LineWriter};
 use logforth::filter::rustlog::RustLogFilterBuilder;
 
+use crate::check;
+
 /// Runs the instance that `file` describes.
 pub(crate) fn serve(file: PathBuf) -> ExitCode {
-    let settings = match read(&file) {
+    let settings = match check::read_direct(&file) {
         Ok(settings) => settings,
         Err(text) => {
             eprintln!("{text}");
@@ -47,7 +49,7 @@
 async fn reread(file: PathBuf, mut settings: DirectSettings) {
     loop {
         gullspar_instance::hang_up().await;
-        match read(&file) {
+        match check::read_direct(&file) {
             Ok(fresh) if fresh == settings => {
                 log::info!("G0811 the settings were read anew and are the same");
             }
@@ -61,9 +63,3 @@
         }
     }
 }
-
-fn read(file: &Path) -> Result<DirectSettings, String> {
-    let name = file.display().to_string();
-    let text = std::fs::read_to_string(file).map_err(|err| format!("{name}: {err}"))?;
-    DirectSettings::parse(&name, &text).map_err(|findings| findings.to_string())
-}
--- a/crates/gullspar/tests/documents.rs
+++ b/crates/gullspar/tests/documents.rs
@@ -6,7 +6,7 @@
 use std::path::{Path, PathBuf};
 
 use gullspar_lab::LabSettings;
-use gullspar_settings::{InstanceSettings, reference};
+use gullspar_settings::{DirectSettings, InstanceSettings, reference};
 
 fn root() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
@@ -29,6 +29,7 @@
     for package in std::fs::read_dir(root().join("crates")).unwrap().flatten() {
         sources(&package.path().join("src"), &mut files);
     }
+    sources(&root().join("platform/src"), &mut files);
     let mut events = BTreeSet::new();
     for file in files {
         let text = std::fs::read_to_string(file).unwrap();
@@ -65,6 +66,7 @@
     for package in std::fs::read_dir(root().join("crates")).unwrap().flatten() {
         sources(&package.path().join("src"), &mut files);
     }
+    sources(&root().join("platform/src"), &mut files);
     for file in files {
         let text = std::fs::read_to_string(&file).unwrap();
         for (at, _) in text.match_indices("log::") {
@@ -73,7 +75,10 @@
             if !["error", "warn", "info", "debug", "trace"].contains(&level) {
                 continue;
             }
-            let message = rest.trim_start().strip_prefix('"').unwrap_or("");
+            // The values that go with a message stand before it and end with a semicolon.
+            let values_end = rest.split_once("\");").and_then(|(call, _)| call.rfind("; \""));
+            let message = values_end.map_or(rest, |at| &rest[at + 1..]);
+            let message = message.trim_start().strip_prefix('"').unwrap_or("");
             let numbered = message.starts_with(['G', 'L'])
                 && message[1..5].bytes().all(|it| it.is_ascii_digit());
             assert!(numbered, "{}: log::{level} without a number", file.display());
@@ -88,6 +93,42 @@
     assert_eq!(page, generated, "run: cargo run -p gullspar -- settings > docs/settings.md");
 }
 
+#[test]
+fn the_page_of_direct_settings_is_the_one_generated() {
+    let page = std::fs::read_to_string(root().join("docs/settings-direct.md")).unwrap();
+    let title = "Settings of an instance that connects directly";
+    let generated = reference(title, &DirectSettings::options());
+    let hint = "run: cargo run -p gullspar -- settings --direct > docs/settings-direct.md";
+    assert_eq!(page, generated, "{hint}");
+}
+
+/// The template that the platform fills in gives settings that are read without a finding.
+#[test]
+fn the_deployed_template_gives_sound_settings() {
+    let mut text = std::fs::read_to_string(root().join("deploy/instance.jsonc")).unwrap();
+    let values = [
+        ("{{nodeName|json}}", "\"front-1\""),
+        ("{{zone|json}}", "\"derby-a\""),
+        ("{{listen.front|json}}", "\"10.1.0.8:8784\""),
+        ("{{listen.ready|json}}", "\"10.1.0.8:8785\""),
+        ("{{ip}}", "10.1.0.8"),
+        ("{{internalPorts.0}}", "7440"),
+        ("{{#seeds}}{{.|json}}{{,}}{{/seeds}}", "\"10.1.0.8:8782\", \"10.2.0.6:8782\""),
+        ("{{platform.address|json}}", "\"10.200.1.7:8783\""),
+        ("{{cloudApi.address|json}}", "\"10.200.0.160:8783\""),
+        ("{{#bounds.leaseMs}}{{.|json}}{{/bounds.leaseMs}}", ""),
+        ("{{^bounds.leaseMs}}3000{{/bounds.leaseMs}}", "3000"),
+        ("{{bounds.graceS|json}}", "6.5"),
+    ];
+    for (placeholder, value) in values {
+        assert!(text.contains(placeholder), "{placeholder} is not in the template");
+        text = text.replace(placeholder, value);
+    }
+    let settings = DirectSettings::parse("instance.jsonc", &text).unwrap();
+    assert_eq!(settings.seeds.len(), 2);
+    assert_eq!(settings.grace_s.duration().as_millis(), 6500);
+}
+
 #[test]
 fn the_labs_files_are_sound() {
     for name in ["midshire", "kahurangi"] {
@@ -100,7 +141,7 @@
 #[test]
 fn pages_link_to_what_is_there() {
     let mut pages = vec![root().join("README.md"), root().join("CONTRIBUTING.md")];
-    for folder in ["docs", "docs/design"] {
+    for folder in ["docs", "docs/design", "docs/incidents"] {
         let entries = std::fs::read_dir(root().join(folder)).unwrap().flatten();
         pages.extend(entries.map(|it| it.path()).filter(|it| it.extension().is_some()));
     }
--- a/crates/gullspar_direct/src/read_path.rs
+++ b/crates/gullspar_direct/src/read_path.rs
@@ -24,8 +24,9 @@
 /// the target's checking it.
 const AGE_MARGIN: Duration = Duration::from_millis(60);
 
-/// Tries of one read at the same time, so that silent targets don't multiply the load.
-const TRIES_AT_ONCE: usize = 2;
+/// Tries of one read at the same time. Two replicas may be silent while the leader could serve it; more
+/// would only multiply the load.
+const TRIES_AT_ONCE: usize = 3;
 
 /// Where a read goes.
 pub(crate) struct Place {
--- /dev/null
+++ b/crates/gullspar_direct/tests/failover.rs
@@ -0,0 +1,231 @@
+//! Replacing leaders, with several instances.
+
+#![allow(clippy::unwrap_used, reason = "a test that can't go on must fail")]
+
+mod support;
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+use gullspar_direct::{Claim, Proxy};
+use gullspar_statement::FailureCode;
+use support::{BOUNDED, Fault, LATEST, World, leader_of, pause, run, until};
+
+/// The time in which a failed leader is replaced: two checks without an answer, the views of the others, a
+/// claim, and the 300 ms that the fake promotion takes. Instances also look for 1.5 s after their start.
+const REPLACED_WITHIN: u64 = 5000;
+
+async fn instances(world: &World, count: u16) -> Vec<Rc<Proxy>> {
+    let proxies: Vec<Rc<Proxy>> = (1..=count).map(|it| world.instance(it)).collect();
+    for proxy in &proxies {
+        world.settle(proxy).await;
+    }
+    pause(1700).await;
+    proxies
+}
+
+/// Symptom: writes stop for good when a leader fails.
+#[test]
+fn a_dark_leader_is_replaced_once() {
+    run(async {
+        let world = World::new();
+        let proxies = instances(&world, 3).await;
+        world.group.set(0, Fault::Dark);
+        until(REPLACED_WITHIN, "another member leads", || {
+            world.group.leader() != Some("m0".into())
+        })
+        .await;
+        let leader = world.group.leader();
+        for proxy in &proxies {
+            until(1000, "all follow", || leader_of(proxy) == leader).await;
+        }
+        world.caller(&proxies[0], LATEST).await.done("WRITE slot mine").await;
+        pause(1500).await;
+        assert_eq!(world.promoter.orders().len(), 1, "{:?}", world.promoter.orders());
+        assert_eq!(world.group.leader(), leader);
+    });
+}
+
+/// Symptom: a group changes its leader three times within half a second, and two instances promote in
+/// turn.
+/// Events: one instance orders a promotion, which takes a while to show; the turns of the next instances
+/// come meanwhile, they find the claim of the first, replace it and promote another member.
+/// Cause: a claim that had just been made did not keep others from claiming.
+#[test]
+fn instances_do_not_promote_in_turn() {
+    run(async {
+        let world = World::new();
+        world.promoter.takes_ms.set(1200);
+        let _proxies = instances(&world, 5).await;
+        world.group.set(0, Fault::Dark);
+        until(REPLACED_WITHIN, "another member leads", || {
+            world.group.leader() != Some("m0".into())
+        })
+        .await;
+        pause(500).await;
+        let holders: BTreeSet<_> =
+            world.promoter.orders().into_iter().map(|it| it.holder).collect();
+        assert_eq!(holders.len(), 1, "{:?}", world.promoter.orders());
+    });
+}
+
+/// Symptom: a healthy leader is replaced, and commits are undone with it.
+/// Events: one instance of several loses the way to the leader.
+/// Cause: its view alone was enough.
+#[test]
+fn one_instances_view_does_not_replace_a_leader() {
+    run(async {
+        let world = World::new();
+        let proxies = instances(&world, 3).await;
+        world.group.set(0, Fault::DarkTo(2));
+        pause(2500).await;
+        assert_eq!(world.promoter.orders(), []);
+        // That instance refuses at once, so that the caller's next try reaches another one.
+        let started = std::time::Instant::now();
+        let code = world.caller(&proxies[1], LATEST).await.refused("WRITE slot mine").await;
+        assert_eq!(code, FailureCode::Congested);
+        assert!(started.elapsed().as_millis() < 200, "took {:?}", started.elapsed());
+        world.caller(&proxies[0], LATEST).await.done("WRITE slot mine").await;
+    });
+}
+
+/// Symptom: behind a cut, a minority of instances moves leaders away from everybody else.
+#[test]
+fn a_cut_off_instance_promotes_nobody_and_sends_callers_elsewhere() {
+    run(async {
+        let world = World::new();
+        let proxies = instances(&world, 3).await;
+        world.network.cut(3);
+        world.group.set(0, Fault::DarkTo(3));
+        until(3000, "the instance is not ready", || !proxies[2].is_ready()).await;
+        pause(1000).await;
+        assert_eq!(world.promoter.orders(), []);
+        assert!(proxies[0].is_ready() && proxies[1].is_ready());
+        let idle = world.caller(&proxies[2], BOUNDED).await;
+        assert_eq!(
+            idle.next().await,
+            None,
+            "its idle sessions are closed once it is out of rotation"
+        );
+        world.network.heal();
+        world.group.mend(0);
+        until(2000, "it is ready again", || proxies[2].is_ready()).await;
+    });
+}
+
+/// Symptom: after most instances lost power, the rest refuses everybody.
+/// Events: the others are silent, so the survivors look cut off.
+/// Cause: silence of instances alone was taken for a cut, though the leaders answer.
+#[test]
+fn survivors_that_reach_the_leaders_go_on() {
+    run(async {
+        let world = World::new();
+        let proxies = instances(&world, 3).await;
+        world.network.cut(2);
+        world.network.cut(3);
+        pause(1500).await;
+        assert!(proxies[0].is_ready());
+        world.caller(&proxies[0], LATEST).await.done("WRITE slot mine").await;
+    });
+}
+
+/// Symptom: a release of the leader loses confirmed bookings.
+/// Events: the leader says that it leaves; its successor has not received the last commits.
+/// Cause: the handover did not wait for them.
+#[test]
+fn a_leaving_leader_hands_over_with_all_its_commits() {
+    run(async {
+        let world = World::new();
+        let proxies = instances(&world, 2).await;
+        world.group.set(1, Fault::Deaf);
+        world.group.set(2, Fault::Deaf);
+        world.caller(&proxies[0], LATEST).await.done("WRITE slot mine").await;
+        pause(300).await;
+        world.group.leaves(0);
+        proxies.iter().for_each(|it| world.list_targets(it, 2));
+        pause(1000).await;
+        assert_eq!(world.promoter.orders(), [], "nobody has the last commit yet");
+        world.group.mend(2);
+        until(3000, "the one that has it leads", || world.group.leader() == Some("m2".into()))
+            .await;
+        assert_eq!(world.group.value("slot"), Some("mine".to_owned()));
+    });
+}
+
+/// Symptom: a promotion is ordered with a token that belongs to nobody, or never.
+/// Events: the store makes the claim and its answer is lost.
+/// Cause: the claim was neither read back nor made anew.
+#[test]
+fn a_claim_whose_answer_is_lost_is_read_back() {
+    run(async {
+        let world = World::new();
+        let _proxies = instances(&world, 2).await;
+        world.claims.loses_answers.set(true);
+        world.group.set(0, Fault::Dark);
+        until(REPLACED_WITHIN, "another member leads", || {
+            world.group.leader() != Some("m0".into())
+        })
+        .await;
+        assert_eq!(world.promoter.orders().len(), 1);
+    });
+}
+
+/// Symptom: a group stays without a leader although the platform is there again.
+/// Events: an order gets no answer and is never carried out.
+/// Cause: an unanswered order was taken for a promotion under way, for ever.
+#[test]
+fn an_order_that_is_lost_is_given_again_with_a_higher_token() {
+    run(async {
+        let world = World::new();
+        let _proxies = instances(&world, 2).await;
+        world.promoter.ignores.set(1);
+        world.group.set(0, Fault::Dark);
+        until(2 * REPLACED_WITHIN, "another member leads", || {
+            world.group.leader() != Some("m0".into())
+        })
+        .await;
+        let orders = world.promoter.orders();
+        assert!(orders[1].token > orders[0].token, "{orders:?}");
+    });
+}
+
+/// While the store is away nobody is promoted, and a leader that comes back is used at once.
+#[test]
+fn without_the_store_a_leader_is_waited_for() {
+    run(async {
+        let world = World::new();
+        let proxies = instances(&world, 2).await;
+        world.claims.away.set(true);
+        world.group.set(0, Fault::Dark);
+        pause(2000).await;
+        assert_eq!(world.promoter.orders(), []);
+        world.group.mend(0);
+        until(1000, "it is usable", || leader_of(&proxies[0]) == Some("m0".into())).await;
+        pause(200).await;
+        world.caller(&proxies[0], LATEST).await.done("WRITE slot mine").await;
+    });
+}
+
+/// Symptom: an instance that starts promotes over one that is in the middle of it.
+/// Events: the claim in the store is of an instance that lives, and was made just now.
+/// Cause: only claims that were heard of before were respected.
+#[test]
+fn a_claim_first_seen_in_the_store_is_respected_while_its_holder_lives() {
+    run(async {
+        let world = World::new();
+        let proxies = instances(&world, 2).await;
+        let other = proxies[1].groups().len();
+        assert_eq!(other, 1);
+        world.claims.put(Claim {
+            holder: "instance-2".into(),
+            member: "m1".into(),
+            nonce: "made by hand".to_owned(),
+        });
+        // Only instance 1 sees the leader dark; instance 2 is silent about it, and they are two.
+        world.group.set(0, Fault::DarkTo(1));
+        pause(1000).await;
+        let by_one =
+            world.promoter.orders().into_iter().filter(|it| it.holder == "instance-1".into());
+        assert_eq!(by_one.count(), 0);
+    });
+}
--- /dev/null
+++ b/crates/gullspar_direct/tests/knowledge.rs
@@ -0,0 +1,178 @@
+//! What an instance knows and how it is brought up to date.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use gullspar_border::BootInstant;
+use gullspar_direct::{
+    Ballot, ClaimBook, ClaimNote, Directory, FencingToken, Reading, Readings, TargetList, Verdict,
+};
+use gullspar_model::LogPoint;
+use support::{FakeGroup, GROUP, World, catalogue, pause, run, until};
+use test_case::test_case;
+
+fn at(ms: u64) -> BootInstant {
+    BootInstant(1_000_000 + ms * 1000)
+}
+
+fn reading(ms: u64, term: u64, position: u64) -> Reading {
+    Reading { begun: at(ms), point: LogPoint::new(term, position) }
+}
+
+/// The oldest reading within the allowed age asks the least of a replica and still covers everything.
+#[test]
+fn the_oldest_reading_within_the_age_is_taken() {
+    let mut readings = Readings::default();
+    for step in 0..10 {
+        readings.add(reading(step * 100, 1, step));
+    }
+    let found = readings.oldest_within(at(1000), Duration::from_millis(450));
+    assert_eq!(found, Some(reading(600, 1, 6)));
+    assert_eq!(readings.oldest_within(at(1000), Duration::from_millis(50)), None);
+    assert_eq!(readings.newest(), Some(reading(900, 1, 9)));
+}
+
+/// Symptom: after a failover every replica is behind for ever.
+/// Cause: a position of the old term, whose commits were rolled back, was asked of the new log.
+#[test]
+fn readings_of_an_older_term_are_dropped() {
+    let mut readings = Readings::default();
+    readings.add(reading(0, 1, 90));
+    readings.add(reading(100, 2, 80));
+    readings.add(reading(150, 1, 91));
+    let found = readings.oldest_within(at(200), Duration::from_secs(1));
+    assert_eq!(found, Some(reading(100, 2, 80)));
+}
+
+/// A reading that arrives late stands where it was begun.
+#[test]
+fn late_readings_are_sorted_in() {
+    let mut readings = Readings::default();
+    readings.add(reading(200, 1, 5));
+    readings.add(reading(100, 1, 3));
+    let found = readings.oldest_within(at(250), Duration::from_millis(160));
+    assert_eq!(found, Some(reading(100, 1, 3)));
+}
+
+/// Symptom: removed routes come back for a moment.
+/// Cause: answers arrive in any order, and a late one was put in force.
+#[test]
+fn configurations_only_move_forward() {
+    let directory = Directory::default();
+    assert!(directory.apply_catalogue(catalogue(5)));
+    assert!(!directory.apply_catalogue(catalogue(5)));
+    assert!(!directory.apply_catalogue(catalogue(4)));
+    assert!(directory.apply_catalogue(catalogue(9)));
+    assert_eq!(directory.version(), 9);
+}
+
+/// Symptom: all targets vanish when the platform's store comes back.
+/// Events: entries lapse while it is away, and are made anew within two seconds of its return.
+/// Cause: a missing entry was taken for a target that is gone at once.
+#[test]
+fn a_target_whose_entry_lapsed_is_kept_for_a_while() {
+    let directory = Directory::default();
+    let now = Instant::now();
+    let targets = FakeGroup::new(GROUP, 3).specs();
+    directory.apply_targets(TargetList { revision: 1, targets: targets.clone() }, now);
+    directory.apply_targets(TargetList { revision: 2, targets: targets[1..].to_vec() }, now);
+    assert_eq!(directory.targets().len(), 3);
+    assert_eq!(directory.target_list().targets.len(), 2, "others are told what is listed");
+    directory.drop_lapsed(now + Duration::from_secs(2));
+    assert_eq!(directory.targets().len(), 3);
+    directory.drop_lapsed(now + Duration::from_secs(3));
+    assert_eq!(directory.targets().len(), 2);
+}
+
+/// A target that said it leaves has left when it is no longer listed, and its address may be another's.
+#[test]
+fn a_leaving_target_is_dropped_with_its_entry() {
+    let directory = Directory::default();
+    let now = Instant::now();
+    let mut targets = FakeGroup::new(GROUP, 2).specs();
+    targets[0].leaving = true;
+    directory.apply_targets(TargetList { revision: 1, targets: targets.clone() }, now);
+    directory.apply_targets(TargetList { revision: 2, targets: targets[1..].to_vec() }, now);
+    assert_eq!(directory.targets().len(), 1);
+}
+
+#[test]
+fn an_older_list_of_targets_changes_nothing() {
+    let directory = Directory::default();
+    let targets = FakeGroup::new(GROUP, 2).specs();
+    directory.apply_targets(TargetList { revision: 5, targets }, Instant::now());
+    assert!(!directory.apply_targets(TargetList { revision: 4, targets: vec![] }, Instant::now()));
+    assert_eq!(directory.targets().len(), 2);
+}
+
+#[test_case(1, 1, Verdict::Replace; "alone")]
+#[test_case(3, 1, Verdict::Wait; "one of three")]
+#[test_case(3, 2, Verdict::Replace; "two of three")]
+#[test_case(8, 4, Verdict::Replace; "half")]
+#[test_case(9, 4, Verdict::Wait; "less than half")]
+fn a_leader_is_replaced_when_half_can_not_use_it(counted: usize, against: usize, verdict: Verdict) {
+    assert_eq!(Ballot { counted, against }.verdict(), verdict);
+}
+
+/// Symptom: two instances promote in one group by turns.
+#[test]
+fn the_last_holder_is_alone_while_it_lives() {
+    let mut book = ClaimBook::new(Duration::from_secs(3));
+    let (one, other) = ("one".into(), "other".into());
+    assert!(book.may_act(&one, at(0), |_| true), "nobody acted yet");
+    book.note(FencingToken(7), "one".into(), at(0));
+    assert!(book.may_act(&one, at(10), |_| true));
+    assert!(!book.may_act(&other, at(10), |_| true));
+    assert!(book.may_act(&other, at(10), |_| false), "the holder is gone");
+    assert!(book.may_act(&other, at(3000), |_| true), "its lease is over");
+    book.note(FencingToken(7), "one".into(), at(2000));
+    assert!(!book.may_act(&other, at(3000), |_| true), "it acted again");
+}
+
+/// A note that was long on its way makes a claim look younger, never older, and an old one changes nothing.
+#[test]
+fn notes_of_claims_only_move_forward() {
+    let mut book = ClaimBook::new(Duration::from_secs(3));
+    let note =
+        |token, age_ms| ClaimNote { token: FencingToken(token), holder: "one".into(), age_ms };
+    book.take(&note(7, 500), at(1000));
+    assert_eq!(book.to_tell(at(1000)), Some(note(7, 500)));
+    book.take(&note(6, 0), at(1000));
+    book.take(&note(7, 0), at(1200));
+    assert_eq!(book.to_tell(at(1200)), Some(note(7, 700)));
+}
+
+/// Symptom: an instance that the store turns away serves by the configuration of yesterday.
+/// Events: a change reaches the others; this instance hears nothing from the store.
+/// Cause: configuration came from the store alone.
+#[test]
+fn configuration_and_targets_come_from_other_instances_too() {
+    run(async {
+        let world = World::new();
+        let one = world.instance(1);
+        let other = world.instance(2);
+        one.directory.apply_catalogue(catalogue(7));
+        until(1500, "the configuration is there", || other.directory.version() == 7).await;
+        one.store_answered();
+        world.group.leaves(1);
+        world.list_targets(&one, 9);
+        until(1500, "the targets are there", || other.directory.target_revision() == 9).await;
+        assert!(other.directory.targets().iter().any(|it| it.leaving));
+    });
+}
+
+/// An instance that reaches the store itself does not take lists from others.
+#[test]
+fn an_instance_in_touch_with_the_store_goes_by_it() {
+    run(async {
+        let world = World::new();
+        let one = world.instance(1);
+        let other = world.instance(2);
+        one.store_answered();
+        other.store_answered();
+        world.list_targets(&one, 9);
+        pause(800).await;
+        assert_eq!(other.directory.target_revision(), 1);
+    });
+}
--- /dev/null
+++ b/crates/gullspar_direct/tests/statements.rs
@@ -0,0 +1,363 @@
+//! Statements of callers through one instance.
+
+#![allow(clippy::unwrap_used, reason = "a test that can't go on must fail")]
+
+mod support;
+
+use gullspar_direct::Phase;
+use gullspar_statement::FailureCode;
+use support::{BOUNDED, Fault, LATEST, OWN, World, pause, run, until};
+
+/// A read that may be old runs on a replica, and one that may not runs on the leader.
+#[test]
+fn reads_go_where_their_freshness_lets_them() {
+    run(async {
+        let world = World::new();
+        let proxy = world.instance(1);
+        world.settle(&proxy).await;
+        world.caller(&proxy, BOUNDED).await.done("READ a").await;
+        world.caller(&proxy, LATEST).await.done("READ b").await;
+        let ran = world.group.ran();
+        assert_ne!(Some(&ran[0].member), world.group.leader().as_ref());
+        assert_eq!(Some(&ran[1].member), world.group.leader().as_ref());
+    });
+}
+
+/// Symptom: a caller does not see the row that it has just written.
+/// Events: it writes on the leader; its next read goes to a replica that has not received the write.
+/// Cause: the replica was not asked to have reached the session's own commit.
+#[test]
+fn a_session_sees_its_own_writes_although_replicas_hear_nothing() {
+    run(async {
+        let world = World::new();
+        let proxy = world.instance(1);
+        world.settle(&proxy).await;
+        world.group.set(1, Fault::Deaf);
+        world.group.set(2, Fault::Deaf);
+        let caller = world.caller(&proxy, OWN).await;
+        for turn in 0..20 {
+            caller.done(&format!("WRITE item {turn}")).await;
+            assert_eq!(caller.done("READ item").await, [turn.to_string()]);
+        }
+    });
+}
+
+/// Symptom: a map shows data older than its class allows.
+/// Events: replicas stop receiving; the age limit passes; a read goes to one of them.
+/// Cause: the point asked of the replica came from a reading of the leader that was too old.
+#[test]
+fn a_read_is_never_older_than_its_class_allows() {
+    run(async {
+        let world = World::new();
+        let proxy = world.instance(1);
+        world.settle(&proxy).await;
+        world.group.set(1, Fault::Deaf);
+        world.group.set(2, Fault::Deaf);
+        let writer = world.caller(&proxy, LATEST).await;
+        let reader = world.caller(&proxy, BOUNDED).await;
+        writer.done("WRITE item new").await;
+        pause(support::MAX_AGE_MS + 50).await;
+        assert_eq!(reader.done("READ item").await, ["new"]);
+    });
+}
+
+/// Symptom: a booking is confirmed and the next look at it shows the slot free.
+/// Events: a leader is superseded behind a cut; it still answers reads from its own log.
+/// Cause: reads of the latest data ran bare, and a member that lost the lead answers those.
+#[test]
+fn a_superseded_leader_is_not_read_from() {
+    run(async {
+        let world = World::new();
+        let proxy = world.instance(1);
+        world.settle(&proxy).await;
+        let caller = world.caller(&proxy, LATEST).await;
+        caller.done("READ a").await;
+        world.group.promote(&"m1".into());
+        caller.done("READ a").await;
+        assert_eq!(world.group.ran().last().unwrap().member, "m1".into());
+    });
+}
+
+/// Symptom: a visitor's map hangs for a second although two other targets are idle.
+/// Events: a target runs the read and its answer is lost.
+/// Cause: only one target was asked, until the statement's time was over.
+#[test]
+fn a_read_whose_answer_is_lost_is_served_by_another_target() {
+    run(async {
+        let world = World::new();
+        let proxy = world.instance(1);
+        world.settle(&proxy).await;
+        world.group.set(1, Fault::LosesAnswers);
+        world.group.set(2, Fault::LosesAnswers);
+        let caller = world.caller(&proxy, BOUNDED).await;
+        let started = std::time::Instant::now();
+        caller.done("READ a").await;
+        assert!(started.elapsed().as_millis() < 500, "took {:?}", started.elapsed());
+    });
+}
+
+/// Symptom: a tour slot is booked twice.
+/// Events: the leader runs the write and the connection breaks before its answer.
+/// Cause: the write was tried again, although nobody could know whether it had run.
+#[test]
+fn a_write_whose_answer_is_lost_is_unknown_and_not_repeated() {
+    run(async {
+        let world = World::new();
+        let proxy = world.instance(1);
+        world.settle(&proxy).await;
+        world.group.set(0, Fault::Resets);
+        let caller = world.caller(&proxy, LATEST).await;
+        assert_eq!(caller.refused("WRITE slot mine").await, FailureCode::Unknown);
+        assert_eq!(world.group.count("WRITE slot mine"), 1);
+    });
+}
+
+/// A write that the leader was too busy for did not run, and is tried again until there is no time left.
+#[test]
+fn a_write_waits_out_a_busy_leader() {
+    run(async {
+        let world = World::new();
+        let proxy = world.instance(1);
+        world.settle(&proxy).await;
+        world.group.set(0, Fault::Busy);
+        let caller = world.caller(&proxy, LATEST).await;
+        caller.begin_to_say("WRITE slot mine");
+        pause(100).await;
+        world.group.mend(0);
+        assert!(caller.next().await.unwrap().result.is_ok());
+        assert_eq!(world.group.count("WRITE slot mine"), 1);
+    });
+}
+
+/// Symptom: a caller is told that nothing of its transaction is kept, and finds it kept.
+/// Events: the connection breaks at COMMIT, which the target carried out.
+/// Cause: a lost answer to COMMIT was taken for a lost transaction.
+#[test]
+fn a_lost_commit_is_unknown_only_if_something_was_written() {
+    run(async {
+        let world = World::new();
+        let proxy = world.instance(1);
+        world.settle(&proxy).await;
+        let caller = world.caller(&proxy, LATEST).await;
+        caller.done("BEGIN").await;
+        caller.done("WRITE slot mine").await;
+        world.group.set(0, Fault::Resets);
+        assert_eq!(caller.refused("COMMIT").await, FailureCode::Unknown);
+        world.group.mend(0);
+        caller.done("BEGIN").await;
+        caller.done("READ slot").await;
+        world.group.set(0, Fault::Resets);
+        assert_eq!(caller.refused("COMMIT").await, FailureCode::RolledBack);
+    });
+}
+
+/// Symptom: forty people at a door meant for twenty.
+/// Events: in a transaction, the connection breaks at a write; the caller repeats the transaction.
+/// Cause: the first one had been committed all the same.
+#[test]
+fn a_transaction_that_loses_its_connection_before_commit_is_rolled_back() {
+    run(async {
+        let world = World::new();
+        let proxy = world.instance(1);
+        world.settle(&proxy).await;
+        let caller = world.caller(&proxy, LATEST).await;
+        caller.done("BEGIN").await;
+        caller.done("WRITE slot one").await;
+        world.group.set(0, Fault::Resets);
+        assert_eq!(caller.refused("WRITE slot two").await, FailureCode::RolledBack);
+        world.group.mend(0);
+        assert_eq!(caller.refused("READ slot").await, FailureCode::Malformed);
+        caller.done("ROLLBACK").await;
+        assert_eq!(world.group.value("slot"), None);
+        caller.done("BEGIN").await;
+        caller.done("WRITE slot again").await;
+        caller.done("COMMIT").await;
+        assert_eq!(world.group.value("slot"), Some("again".to_owned()));
+    });
+}
+
+/// All statements of a transaction run on one connection, and none of another caller's between them.
+#[test]
+fn a_transaction_keeps_its_connection_to_itself() {
+    run(async {
+        let world = World::new();
+        let proxy = world.instance(1);
+        world.settle(&proxy).await;
+        let one = world.caller(&proxy, LATEST).await;
+        let other = world.caller(&proxy, LATEST).await;
+        one.done("BEGIN").await;
+        one.done("READ one").await;
+        for _ in 0..5 {
+            other.done("READ other").await;
+        }
+        one.done("WRITE one 1").await;
+        one.done("COMMIT").await;
+        let ran = world.group.ran();
+        let of_one: Vec<u64> =
+            ran.iter().filter(|it| !it.text.contains("other")).map(|it| it.connection).collect();
+        assert!(of_one.iter().all(|it| *it == of_one[0]), "{ran:?}");
+        let mixed = ran.iter().any(|it| it.text.contains("other") && it.connection == of_one[0]);
+        assert!(!mixed, "{ran:?}");
+    });
+}
+
+/// Symptom: a statement runs with another caller's settings, or another caller's prepared statement.
+/// Events: two sessions use the same names for different things and share the target's connections.
+/// Cause: a pooled connection was handed on as the session before had left it.
+#[test]
+fn sessions_do_not_see_each_others_values_and_prepared_statements() {
+    run(async {
+        let world = World::new();
+        let proxy = world.instance(1);
+        world.settle(&proxy).await;
+        let one = world.caller(&proxy, LATEST).await;
+        let other = world.caller(&proxy, LATEST).await;
+        let plain = world.caller(&proxy, LATEST).await;
+        one.done("SET zone east").await;
+        other.done("SET zone west").await;
+        one.done("PREPARE s READ q1").await;
+        other.done("PREPARE s WRITE q2").await;
+        for _ in 0..3 {
+            one.done("EXECUTE s a").await;
+            other.done("EXECUTE s a 1").await;
+            plain.done("READ b").await;
+        }
+        for ran in world.group.ran() {
+            let wanted: &[&str] = match ran.text.as_str() {
+                "READ q1 a" => &["zone=east"],
+                "WRITE q2 a 1" => &["zone=west"],
+                "READ b" => &[],
+                other => panic!("{other} was never sent"),
+            };
+            assert_eq!(ran.values, wanted, "{}", ran.text);
+        }
+        assert_eq!(plain.refused("EXECUTE s a").await, FailureCode::NoSuchPrepared);
+        one.done("DEALLOC s").await;
+        assert_eq!(one.refused("EXECUTE s a").await, FailureCode::NoSuchPrepared);
+    });
+}
+
+/// Symptom: a target runs out of connections while most of them do nothing.
+/// Events: callers open transactions and go for lunch.
+/// Cause: nothing ended a transaction that stood still.
+#[test]
+fn a_transaction_that_stands_still_is_rolled_back() {
+    run(async {
+        let world = World::new();
+        let proxy = world.instance(1);
+        world.settle(&proxy).await;
+        let caller = world.caller(&proxy, LATEST).await;
+        caller.done("BEGIN").await;
+        caller.done("WRITE slot mine").await;
+        pause(support::TRANSACTION_IDLE_MS + 200).await;
+        assert_eq!(caller.refused("COMMIT").await, FailureCode::RolledBack);
+        assert_eq!(world.group.value("slot"), None);
+        caller.done("READ slot").await;
+    });
+}
+
+/// A caller that leaves in the middle of a transaction leaves nothing behind.
+#[test]
+fn a_caller_that_leaves_is_rolled_back() {
+    run(async {
+        let world = World::new();
+        let proxy = world.instance(1);
+        world.settle(&proxy).await;
+        let caller = world.caller(&proxy, LATEST).await;
+        caller.done("BEGIN").await;
+        caller.done("WRITE slot mine").await;
+        caller.leave();
+        until(1000, "the session ends", || proxy.shutdown.sessions() == 0).await;
+        assert_eq!(world.group.value("slot"), None);
+    });
+}
+
+/// A transaction that only reads refuses writes wherever it runs.
+#[test]
+fn a_reading_transaction_writes_nothing() {
+    run(async {
+        let world = World::new();
+        let proxy = world.instance(1);
+        world.settle(&proxy).await;
+        let caller = world.caller(&proxy, LATEST).await;
+        caller.done("BEGIN READ").await;
+        caller.done("READ a").await;
+        assert_eq!(caller.refused("WRITE a 1").await, FailureCode::ReadOnly);
+        caller.done("ROLLBACK").await;
+        assert_eq!(world.group.count("WRITE a 1"), 0);
+    });
+}
+
+/// Symptom: callers lose answers at every rolling restart.
+/// Events: the instance is told to end while a statement runs and a transaction is open.
+/// Cause: sessions were closed without regard to what was under way.
+#[test]
+fn a_shutdown_answers_what_is_under_way() {
+    run(async {
+        let world = World::new();
+        let proxy = world.instance(1);
+        world.settle(&proxy).await;
+        world.group.work_ms.set(150);
+        let busy = world.caller(&proxy, LATEST).await;
+        let idle = world.caller(&proxy, LATEST).await;
+        let open = world.caller(&proxy, LATEST).await;
+        open.done("BEGIN").await;
+        open.done("READ a").await;
+        busy.begin_to_say("WRITE slot mine");
+        pause(20).await;
+        proxy.shutdown.enter(Phase::Unready);
+        assert!(!proxy.is_ready());
+        idle.done("READ a").await;
+        proxy.shutdown.enter(Phase::ClosingIdle);
+        assert!(busy.next().await.unwrap().result.is_ok(), "the running statement is answered");
+        assert_eq!(idle.next().await, None, "the idle session is closed");
+        open.done("WRITE slot other").await;
+        open.done("COMMIT").await;
+        assert_eq!(open.next().await, None, "the open transaction had its time");
+        assert_eq!(proxy.shutdown.sessions(), 0);
+    });
+}
+
+/// A service that is not there is refused, and one that goes away is refused from the next statement on.
+#[test]
+fn services_come_and_go_with_the_configuration() {
+    run(async {
+        let world = World::new();
+        let proxy = world.instance(1);
+        world.settle(&proxy).await;
+        let caller = world.caller(&proxy, BOUNDED).await;
+        caller.done("READ a").await;
+        let mut without = support::catalogue(2);
+        without.routes.remove(&BOUNDED.into());
+        proxy.directory.apply_catalogue(without);
+        assert_eq!(caller.refused("READ a").await, FailureCode::NoSuchService);
+        proxy.directory.apply_catalogue(support::catalogue(1));
+        assert_eq!(caller.refused("READ a").await, FailureCode::NoSuchService);
+        proxy.directory.apply_catalogue(support::catalogue(3));
+        caller.done("READ a").await;
+    });
+}
+
+/// Symptom: after a power loss of all instances, nobody is served for four seconds.
+/// Events: targets keep the connections of instances that lost power for three seconds; the instances
+/// that start again find no connection left.
+/// Cause: each instance kept more idle connections than it needed.
+#[test]
+fn idle_connections_are_given_up_but_for_one() {
+    run(async {
+        let world = World::new();
+        let proxy = world.instance(1);
+        world.settle(&proxy).await;
+        world.group.work_ms.set(50);
+        let mut callers = Vec::new();
+        for _ in 0..4 {
+            callers.push(world.caller(&proxy, LATEST).await);
+        }
+        callers.iter().for_each(|it| it.begin_to_say("READ a"));
+        until(1000, "several connections are open", || world.group.connections(0) > 2).await;
+        for it in &callers {
+            assert!(it.next().await.unwrap().result.is_ok());
+        }
+        until(2500, "one connection is left", || world.group.connections(0) <= 1).await;
+    });
+}
--- /dev/null
+++ b/crates/gullspar_direct/tests/support/fake_group.rs
@@ -0,0 +1,428 @@
+//! A group of targets in memory: a log, a leader, replicas that lag, and faults.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
+
+use futures::FutureExt;
+use futures::future::{self, LocalBoxFuture};
+use gullspar_model::{LogPoint, MemberName};
+use gullspar_statement::{
+    Answer, Failure, FailureCode, OpenError, OpenedTarget, TargetCommand, TargetDialer, TargetLink,
+    TargetLinkError, TargetRole, TargetSpec, TransactionStatus,
+};
+
+/// What a member may do wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Fault {
+    /// It answers nothing.
+    Dark,
+    /// It answers nothing to these instances, told by number, from 2 on.
+    DarkTo(u16),
+    /// It runs callers' statements and their answers are lost.
+    LosesAnswers,
+    /// It runs callers' statements and then resets the connection.
+    Resets,
+    /// It refuses callers' statements as too busy.
+    Busy,
+    /// It takes no further connections.
+    Full,
+    /// It learns nothing new from the leader.
+    Deaf,
+}
+
+/// One statement as a member ran it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ran {
+    pub member: MemberName,
+    pub connection: u64,
+    pub text: String,
+    /// Session values on the connection, as `name=value`.
+    pub values: Vec<String>,
+}
+
+struct Member {
+    name: MemberName,
+    /// How many of the group's commits it has.
+    has: Cell<u64>,
+    faults: RefCell<BTreeSet<Fault>>,
+    leaving: Cell<bool>,
+    connections: Cell<u32>,
+}
+
+/// The group.
+pub struct FakeGroup {
+    name: String,
+    members: Vec<Rc<Member>>,
+    leader: Cell<usize>,
+    term: Cell<u64>,
+    /// Commits of the present log.
+    commits: Cell<u64>,
+    data: RefCell<BTreeMap<String, (String, u64)>>,
+    ran: RefCell<Vec<Ran>>,
+    next_connection: Cell<u64>,
+    /// How long a caller's statement takes, in milliseconds.
+    pub work_ms: Cell<u64>,
+}
+
+impl FakeGroup {
+    pub fn new(name: &str, members: usize) -> Rc<FakeGroup> {
+        let member = |at: usize| {
+            Rc::new(Member {
+                name: MemberName::new(format!("m{at}")),
+                has: Cell::new(0),
+                faults: RefCell::default(),
+                leaving: Cell::new(false),
+                connections: Cell::new(0),
+            })
+        };
+        Rc::new(FakeGroup {
+            name: name.to_owned(),
+            members: (0..members).map(member).collect(),
+            leader: Cell::new(0),
+            term: Cell::new(1),
+            commits: Cell::new(0),
+            data: RefCell::default(),
+            ran: RefCell::default(),
+            next_connection: Cell::new(1),
+            work_ms: Cell::new(1),
+        })
+    }
+
+    pub fn dialer(self: &Rc<Self>, instance: u16) -> Rc<dyn TargetDialer> {
+        Rc::new(FakeDialer { group: Rc::clone(self), instance })
+    }
+
+    pub fn specs(&self) -> Vec<TargetSpec> {
+        let spec = |(at, member): (usize, &Rc<Member>)| TargetSpec {
+            member: member.name.clone(),
+            group: self.name.as_str().into(),
+            address: SocketAddr::from(([127, 0, 0, 2], at as u16 + 1)),
+            data_centre: "dc-1".into(),
+            slots: 4,
+            leaving: member.leaving.get(),
+            role: if at == self.leader.get() { TargetRole::Primary } else { TargetRole::Replica },
+        };
+        self.members.iter().enumerate().map(spec).collect()
+    }
+
+    pub fn leader(&self) -> Option<MemberName> {
+        Some(self.members[self.leader.get()].name.clone())
+    }
+
+    pub fn set(&self, member: usize, fault: Fault) {
+        self.members[member].faults.borrow_mut().insert(fault);
+    }
+
+    pub fn mend(&self, member: usize) {
+        self.members[member].faults.borrow_mut().clear();
+    }
+
+    pub fn leaves(&self, member: usize) {
+        self.members[member].leaving.set(true);
+    }
+
+    /// Makes `name` the leader of the next term with the commits that it has.
+    pub fn promote(&self, name: &MemberName) {
+        let at = self.members.iter().position(|it| it.name == *name).unwrap();
+        if at == self.leader.get() {
+            return;
+        }
+        let kept = self.members[at].has.get();
+        self.data.borrow_mut().retain(|_, (_, number)| *number <= kept);
+        self.members.iter().for_each(|it| it.has.set(it.has.get().min(kept)));
+        self.commits.set(kept);
+        self.leader.set(at);
+        self.term.set(self.term.get() + 1);
+    }
+
+    /// All statements of callers that ran, in order.
+    pub fn ran(&self) -> Vec<Ran> {
+        self.ran.borrow().clone()
+    }
+
+    /// How many statements with this text ran.
+    pub fn count(&self, text: &str) -> usize {
+        self.ran.borrow().iter().filter(|it| it.text == text).count()
+    }
+
+    pub fn value(&self, item: &str) -> Option<String> {
+        self.data.borrow().get(item).map(|(value, _)| value.clone())
+    }
+
+    /// Connections open to a member.
+    pub fn connections(&self, member: usize) -> u32 {
+        self.members[member].connections.get()
+    }
+
+    fn has(&self, member: &Member, fault: Fault) -> bool {
+        member.faults.borrow().contains(&fault)
+    }
+
+    fn leads(&self, member: &Member) -> bool {
+        self.members[self.leader.get()].name == member.name
+    }
+
+    /// What the member's log reaches to.
+    fn point(&self, member: &Member) -> LogPoint {
+        let deaf = self.has(member, Fault::Deaf);
+        if self.leads(member) || !deaf {
+            member.has.set(self.commits.get());
+        }
+        LogPoint::new(self.term.get(), member.has.get())
+    }
+
+    fn commit(&self, writes: &[(String, String)]) {
+        if writes.is_empty() {
+            return;
+        }
+        self.commits.set(self.commits.get() + 1);
+        for (item, value) in writes {
+            let kept = (value.clone(), self.commits.get());
+            self.data.borrow_mut().insert(item.clone(), kept);
+        }
+    }
+}
+
+struct FakeDialer {
+    group: Rc<FakeGroup>,
+    instance: u16,
+}
+
+impl TargetDialer for FakeDialer {
+    fn open<'a>(
+        &'a self,
+        spec: &'a TargetSpec,
+        deadline: Instant,
+    ) -> LocalBoxFuture<'a, Result<OpenedTarget, OpenError>> {
+        async move {
+            let member = self.group.members.iter().find(|it| it.name == spec.member).unwrap();
+            if is_dark(&self.group, member, self.instance) {
+                compio::time::sleep_until(deadline).await;
+                return Err(OpenError::Unreachable("dark".to_owned()));
+            }
+            if self.group.has(member, Fault::Full) {
+                let failure = Failure::new(FailureCode::TooManyConnections, "full");
+                return Err(OpenError::Refused(failure));
+            }
+            let connection = self.group.next_connection.get();
+            self.group.next_connection.set(connection + 1);
+            member.connections.set(member.connections.get() + 1);
+            let point = Some(self.group.point(member));
+            let link = FakeTarget {
+                group: Rc::clone(&self.group),
+                member: Rc::clone(member),
+                instance: self.instance,
+                connection,
+                transaction: None,
+                values: BTreeMap::new(),
+                prepared: BTreeMap::new(),
+                broken: false,
+            };
+            Ok(OpenedTarget { link: Box::new(link), point })
+        }
+        .boxed_local()
+    }
+}
+
+fn is_dark(group: &FakeGroup, member: &Member, instance: u16) -> bool {
+    group.has(member, Fault::Dark) || group.has(member, Fault::DarkTo(instance))
+}
+
+struct OpenTransaction {
+    /// The term in which it was opened as a plain one; `None` for one that only reads.
+    led: Option<u64>,
+    writes: Vec<(String, String)>,
+    failed: bool,
+}
+
+struct FakeTarget {
+    group: Rc<FakeGroup>,
+    member: Rc<Member>,
+    instance: u16,
+    connection: u64,
+    transaction: Option<OpenTransaction>,
+    values: BTreeMap<String, String>,
+    prepared: BTreeMap<String, String>,
+    broken: bool,
+}
+
+impl Drop for FakeTarget {
+    fn drop(&mut self) {
+        self.member.connections.set(self.member.connections.get() - 1);
+    }
+}
+
+impl TargetLink for FakeTarget {
+    fn exchange(
+        &mut self,
+        commands: Vec<TargetCommand>,
+    ) -> LocalBoxFuture<'_, Result<Vec<Answer>, TargetLinkError>> {
+        async move {
+            let mut answers = Vec::new();
+            for command in commands {
+                if is_dark(&self.group, &self.member, self.instance) {
+                    future::pending::<()>().await;
+                }
+                answers.push(self.run(command).await?);
+            }
+            Ok(answers)
+        }
+        .boxed_local()
+    }
+
+    fn is_quiet(&self) -> bool {
+        !self.broken
+    }
+}
+
+impl FakeTarget {
+    async fn run(&mut self, command: TargetCommand) -> Result<Answer, TargetLinkError> {
+        let result = match command {
+            TargetCommand::Begin => {
+                if self.group.leads(&self.member) {
+                    let led = Some(self.group.term.get());
+                    self.transaction =
+                        Some(OpenTransaction { led, writes: Vec::new(), failed: false });
+                    Ok(None)
+                } else {
+                    Err(FailureCode::ReadOnly)
+                }
+            }
+            TargetCommand::BeginReadOnly { at_least } => self.reaches(at_least).map(|()| {
+                self.transaction =
+                    Some(OpenTransaction { led: None, writes: Vec::new(), failed: false });
+                None
+            }),
+            TargetCommand::RollBack => {
+                self.transaction = None;
+                Ok(None)
+            }
+            TargetCommand::Reset => {
+                self.values.clear();
+                self.prepared.clear();
+                Ok(None)
+            }
+            TargetCommand::Set { name, value } => {
+                self.values.insert(name.to_string(), value.to_string());
+                Ok(None)
+            }
+            TargetCommand::Prepare { name, definition } => {
+                let verb = format!("{:?}", definition.access).to_uppercase();
+                self.prepared.insert(name.to_string(), format!("{verb} {}", definition.shape));
+                Ok(None)
+            }
+            TargetCommand::ReceivedPoint => Ok(None),
+            TargetCommand::Run { text, at_least, .. } => {
+                return self.run_for_caller(text.as_str(), at_least).await;
+            }
+            TargetCommand::Execute { name, arguments, at_least, .. } => {
+                let Some(shape) = self.prepared.get(name.as_str()).cloned() else {
+                    return Ok(self.answer(Vec::new(), Err(FailureCode::NoSuchPrepared)));
+                };
+                return self.run_for_caller(&format!("{shape} {arguments}"), at_least).await;
+            }
+        };
+        Ok(self.answer(Vec::new(), result))
+    }
+
+    async fn run_for_caller(
+        &mut self,
+        text: &str,
+        at_least: Option<LogPoint>,
+    ) -> Result<Answer, TargetLinkError> {
+        if self.group.has(&self.member, Fault::Busy) {
+            return Ok(self.answer(Vec::new(), Err(FailureCode::Congested)));
+        }
+        if let Err(code) = self.reaches(at_least) {
+            return Ok(self.answer(Vec::new(), Err(code)));
+        }
+        compio::time::sleep(std::time::Duration::from_millis(self.group.work_ms.get())).await;
+        let (rows, result) = self.carry_out(text);
+        if result.is_ok() {
+            self.group.ran.borrow_mut().push(Ran {
+                member: self.member.name.clone(),
+                connection: self.connection,
+                text: text.to_owned(),
+                values: self.values.iter().map(|(name, value)| format!("{name}={value}")).collect(),
+            });
+        }
+        if self.group.has(&self.member, Fault::LosesAnswers) {
+            future::pending::<()>().await;
+        }
+        if self.group.has(&self.member, Fault::Resets) {
+            self.broken = true;
+            return Err(io::Error::from(io::ErrorKind::ConnectionReset).into());
+        }
+        Ok(self.answer(rows, result))
+    }
+
+    fn carry_out(
+        &mut self,
+        text: &str,
+    ) -> (Vec<String>, Result<Option<&'static str>, FailureCode>) {
+        let words: Vec<&str> = text.split(' ').collect();
+        if let Some(open) = &mut self.transaction
+            && open.led.is_some_and(|term| term != self.group.term.get())
+            && !(words[0] == "COMMIT" && open.writes.is_empty())
+        {
+            open.failed = true;
+            return (Vec::new(), Err(FailureCode::ReadOnly));
+        }
+        match words[0] {
+            "COMMIT" => {
+                let open = self.transaction.take();
+                self.group.commit(&open.map(|it| it.writes).unwrap_or_default());
+                (Vec::new(), Ok(Some("signature")))
+            }
+            "WRITE" => {
+                let item = (words[words.len() - 2].to_owned(), words[words.len() - 1].to_owned());
+                match &mut self.transaction {
+                    Some(open) => open.writes.push(item),
+                    None if self.group.leads(&self.member) => self.group.commit(&[item]),
+                    None => return (Vec::new(), Err(FailureCode::ReadOnly)),
+                }
+                (Vec::new(), Ok(Some("signature")))
+            }
+            _ => {
+                let reached = self.group.point(&self.member).position.0;
+                let data = self.group.data.borrow();
+                let read =
+                    data.get(words[words.len() - 1]).filter(|(_, number)| *number <= reached);
+                let row = read.map_or("nothing", |(value, _)| value.as_str());
+                (vec![row.to_owned()], Ok(Some("signature")))
+            }
+        }
+    }
+
+    fn reaches(&self, at_least: Option<LogPoint>) -> Result<(), FailureCode> {
+        let point = self.group.point(&self.member);
+        match at_least {
+            Some(wanted) if wanted > point => Err(FailureCode::Behind),
+            _ => Ok(()),
+        }
+    }
+
+    fn answer(
+        &self,
+        rows: Vec<String>,
+        result: Result<Option<&'static str>, FailureCode>,
+    ) -> Answer {
+        let status = match &self.transaction {
+            None => TransactionStatus::Idle,
+            Some(open) if open.failed => TransactionStatus::Failed,
+            Some(_) => TransactionStatus::Open,
+        };
+        Answer {
+            rows: rows.into_iter().map(Into::into).collect(),
+            result: result
+                .map(|it| it.map(Into::into))
+                .map_err(|code| Failure::new(code, "the member says so")),
+            status,
+            point: Some(self.group.point(&self.member)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gullspar_direct/tests/support/fake_peers.rs
@@ -0,0 +1,72 @@
+//! The way between instances, in memory, with links that can be cut.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
+
+use futures::FutureExt;
+use futures::future::LocalBoxFuture;
+use gullspar_border::PeerError;
+use gullspar_direct::{Beacon, PeerChannel, Proxy, Snapshot, SnapshotRequest};
+
+/// All instances of a test.
+#[derive(Default)]
+pub struct FakeNetwork {
+    instances: RefCell<BTreeMap<SocketAddr, Rc<Proxy>>>,
+    cut_off: RefCell<BTreeSet<SocketAddr>>,
+}
+
+impl FakeNetwork {
+    pub fn join(&self, address: SocketAddr, proxy: Rc<Proxy>) {
+        self.instances.borrow_mut().insert(address, proxy);
+    }
+
+    /// Cuts an instance off from all others.
+    pub fn cut(&self, number: u16) {
+        self.cut_off.borrow_mut().insert(SocketAddr::from(([127, 0, 0, 1], number)));
+    }
+
+    pub fn heal(&self) {
+        self.cut_off.borrow_mut().clear();
+    }
+
+    pub fn channel(self: &Rc<Self>, own: SocketAddr) -> Rc<dyn PeerChannel> {
+        Rc::new(Channel { network: Rc::clone(self), own })
+    }
+
+    fn reach(&self, from: SocketAddr, to: SocketAddr) -> Option<Rc<Proxy>> {
+        let cut_off = self.cut_off.borrow();
+        if cut_off.contains(&from) || cut_off.contains(&to) {
+            return None;
+        }
+        self.instances.borrow().get(&to).cloned()
+    }
+}
+
+struct Channel {
+    network: Rc<FakeNetwork>,
+    own: SocketAddr,
+}
+
+impl PeerChannel for Channel {
+    fn send(&self, to: SocketAddr, beacon: &Beacon) {
+        if let Some(proxy) = self.network.reach(self.own, to) {
+            proxy.take_beacon(beacon.clone());
+        }
+    }
+
+    fn fetch(
+        &self,
+        from: SocketAddr,
+        req: SnapshotRequest,
+        _deadline: Instant,
+    ) -> LocalBoxFuture<'static, Result<Snapshot, PeerError>> {
+        let result = match self.network.reach(self.own, from) {
+            Some(proxy) => Ok(proxy.snapshot(req)),
+            None => Err(PeerError::NoAnswer("cut".to_owned())),
+        };
+        async move { result }.boxed_local()
+    }
+}
--- /dev/null
+++ b/crates/gullspar_direct/tests/support/fake_promoter.rs
@@ -0,0 +1,77 @@
+//! Promotions that take a while to take effect.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::FutureExt;
+use futures::future::LocalBoxFuture;
+use gullspar_direct::{Claim, FencingToken, PromoteError, Promoter};
+use gullspar_model::{GroupName, InstanceId, MemberName};
+
+use super::FakeGroup;
+
+/// An order as it arrived.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    pub holder: InstanceId,
+    pub member: MemberName,
+    pub token: FencingToken,
+}
+
+/// Carries out promotions on a group.
+pub struct FakePromoter {
+    group: Rc<FakeGroup>,
+    orders: Rc<RefCell<Vec<Order>>>,
+    highest: Rc<Cell<u64>>,
+    /// How long a promotion takes, in milliseconds.
+    pub takes_ms: Cell<u64>,
+    /// The next orders get no answer and are not carried out.
+    pub ignores: Cell<u32>,
+}
+
+impl FakePromoter {
+    pub fn new(group: Rc<FakeGroup>) -> Rc<FakePromoter> {
+        Rc::new(FakePromoter {
+            group,
+            orders: Rc::default(),
+            highest: Rc::default(),
+            takes_ms: Cell::new(300),
+            ignores: Cell::new(0),
+        })
+    }
+
+    pub fn orders(&self) -> Vec<Order> {
+        self.orders.borrow().clone()
+    }
+}
+
+impl Promoter for FakePromoter {
+    fn promote<'a>(
+        &'a self,
+        _group: &'a GroupName,
+        claim: &'a Claim,
+        token: FencingToken,
+    ) -> LocalBoxFuture<'a, Result<(), PromoteError>> {
+        let order = Order { holder: claim.holder.clone(), member: claim.member.clone(), token };
+        self.orders.borrow_mut().push(order);
+        if token.0 < self.highest.get() {
+            return async { Err(PromoteError::Superseded) }.boxed_local();
+        }
+        self.highest.set(token.0);
+        if self.ignores.get() > 0 {
+            self.ignores.set(self.ignores.get() - 1);
+            return async { Err(PromoteError::NoAnswer("lost".to_owned())) }.boxed_local();
+        }
+        let (group, member) = (Rc::clone(&self.group), claim.member.clone());
+        let (highest, takes) = (Rc::clone(&self.highest), self.takes_ms.get());
+        compio::runtime::spawn(async move {
+            compio::time::sleep(Duration::from_millis(takes)).await;
+            if highest.get() == token.0 {
+                group.promote(&member);
+            }
+        })
+        .detach();
+        async { Ok(()) }.boxed_local()
+    }
+}
--- /dev/null
+++ b/crates/gullspar_direct/tests/support/mod.rs
@@ -0,0 +1,162 @@
+//! Fakes at the borders: a group of targets, callers, claims, promotions and the way between instances.
+
+#![allow(dead_code, unused_imports, reason = "each test file uses a part")]
+#![allow(clippy::unwrap_used, reason = "a test that can't go on must fail")]
+
+mod fake_caller;
+mod fake_claims;
+mod fake_group;
+mod fake_peers;
+mod fake_promoter;
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use gullspar_border::Clock;
+use gullspar_direct::{
+    Borders, Catalogue, Freshness, GroupLimits, Identity, Proxy, Route, Stats, TargetList,
+    serve_caller,
+};
+use gullspar_model::{GroupName, InstanceId, ServiceName};
+use gullspar_net::{SystemClock, SystemEntropy};
+
+pub use fake_caller::FakeCaller;
+pub use fake_claims::FakeClaims;
+pub use fake_group::{FakeGroup, Fault};
+pub use fake_peers::FakeNetwork;
+pub use fake_promoter::FakePromoter;
+
+pub const GROUP: &str = "group-1";
+
+/// Services of the test configuration, one for each class of callers.
+pub const LATEST: &str = "bookings";
+pub const BOUNDED: &str = "map";
+pub const OWN: &str = "feeds";
+
+/// Greatest age of data in milliseconds for callers of `BOUNDED` and `OWN`.
+pub const MAX_AGE_MS: u64 = 1500;
+
+/// Time that one statement may take, in milliseconds.
+pub const STATEMENT_MS: u64 = 1000;
+
+/// Idle time after which a transaction is rolled back, in milliseconds.
+pub const TRANSACTION_IDLE_MS: u64 = 400;
+
+/// How long the last holder of a claim is alone.
+pub const LEASE: Duration = Duration::from_millis(1500);
+
+/// Everything around one or more instances.
+pub struct World {
+    pub group: Rc<FakeGroup>,
+    pub claims: Rc<FakeClaims>,
+    pub promoter: Rc<FakePromoter>,
+    pub network: Rc<FakeNetwork>,
+    pub clock: Rc<dyn Clock>,
+}
+
+/// Runs a test on a runtime of its own.
+pub fn run<F: Future<Output = ()>>(test: F) {
+    compio::runtime::Runtime::new().unwrap().block_on(test);
+}
+
+pub async fn pause(ms: u64) {
+    compio::time::sleep(Duration::from_millis(ms)).await;
+}
+
+/// Waits until `reached`, and fails the test if that takes longer than `ms`.
+pub async fn until(ms: u64, what: &str, reached: impl Fn() -> bool) {
+    let deadline = Instant::now() + Duration::from_millis(ms);
+    while !reached() {
+        assert!(Instant::now() < deadline, "{what} within {ms} ms");
+        pause(5).await;
+    }
+}
+
+impl World {
+    /// A world with a group of three members, the first leading.
+    pub fn new() -> World {
+        let group = FakeGroup::new(GROUP, 3);
+        World {
+            promoter: FakePromoter::new(Rc::clone(&group)),
+            group,
+            claims: Rc::default(),
+            network: Rc::default(),
+            clock: Rc::new(SystemClock),
+        }
+    }
+
+    /// An instance that knows the configuration and all targets.
+    pub fn instance(&self, number: u16) -> Rc<Proxy> {
+        let address = SocketAddr::from(([127, 0, 0, 1], number));
+        let borders = Borders {
+            clock: Rc::clone(&self.clock),
+            entropy: Rc::new(SystemEntropy),
+            dialer: self.group.dialer(number),
+            claims: Rc::clone(&self.claims) as _,
+            promoter: Rc::clone(&self.promoter) as _,
+            peers: self.network.channel(address),
+            stats: Rc::new(Stats::new(&opentelemetry::global::meter("test"))),
+        };
+        let own = Identity {
+            id: InstanceId::new(format!("instance-{number}")),
+            data_centre: "dc-1".into(),
+            address,
+            claim_lease: LEASE,
+        };
+        let proxy = Proxy::new(own, vec![SocketAddr::from(([127, 0, 0, 1], 1))], borders);
+        self.network.join(address, Rc::clone(&proxy));
+        proxy.directory.apply_catalogue(catalogue(1));
+        self.list_targets(&proxy, 1);
+        compio::runtime::spawn(Rc::clone(&proxy).run()).detach();
+        proxy
+    }
+
+    /// Tells an instance which targets there are.
+    pub fn list_targets(&self, proxy: &Proxy, revision: u64) {
+        let list = TargetList { revision, targets: self.group.specs() };
+        proxy.directory.apply_targets(list, self.clock.now());
+    }
+
+    /// Waits until the instance knows its group's leader.
+    pub async fn settle(&self, proxy: &Rc<Proxy>) {
+        let proxy = Rc::clone(proxy);
+        let leader = self.group.leader();
+        until(3000, "the leader is known", || leader_of(&proxy).as_ref() == leader.as_ref()).await;
+    }
+
+    /// A caller with an open session.
+    pub async fn caller(&self, proxy: &Rc<Proxy>, service: &str) -> FakeCaller {
+        let (caller, link) = FakeCaller::new();
+        compio::runtime::spawn(serve_caller(Rc::clone(proxy), Box::new(link))).detach();
+        caller.open(service).await;
+        caller
+    }
+}
+
+/// The leader that an instance goes by.
+pub fn leader_of(proxy: &Proxy) -> Option<gullspar_model::MemberName> {
+    proxy.group(&GROUP.into())?.leader().map(|it| it.member)
+}
+
+pub fn catalogue(version: u64) -> Catalogue {
+    let route = |freshness| Route {
+        group: GROUP.into(),
+        freshness,
+        statement_ms: STATEMENT_MS,
+        objective_ms: 200,
+        priority: 1,
+    };
+    let routes = [
+        (ServiceName::new(LATEST), route(Freshness::Latest)),
+        (ServiceName::new(BOUNDED), route(Freshness::MaxAge { ms: MAX_AGE_MS })),
+        (ServiceName::new(OWN), route(Freshness::OwnWrites { max_age_ms: MAX_AGE_MS })),
+    ];
+    Catalogue {
+        version,
+        routes: routes.into_iter().collect(),
+        groups: [(GroupName::new(GROUP), GroupLimits { connections: 30 })].into_iter().collect(),
+        transaction_idle_ms: TRANSACTION_IDLE_MS,
+    }
+}
--- a/crates/gullspar_net/src/tcp_link.rs
+++ b/crates/gullspar_net/src/tcp_link.rs
@@ -36,14 +36,12 @@
         // Without it a small answer may wait 40 ms for the acknowledgement of the one before.
         // A stream that refuses an option still works, only slower to answer or to notice a loss.
         let _ = stream.set_nodelay(true);
-        let socket = socket2::SockRef::from(&stream);
         let keepalive = socket2::TcpKeepalive::new()
             .with_time(PROBE_EVERY)
             .with_interval(PROBE_EVERY)
             .with_retries(PROBES);
-        let _ = socket.set_tcp_keepalive(&keepalive);
-        let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_FOR));
-        drop(socket);
+        let _ = socket2::SockRef::from(&stream).set_tcp_keepalive(&keepalive);
+        let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_FOR));
         TcpLink { stream, reading: None }
     }
 }
