Acknowledge a write once a replica has it

Success is held back until a replica has the commit, at most 80 ms; while the leader is leaving until all staying replicas have it; a leader superseded meanwhile is not believed. Acknowledged alone is counted. Weighed: status calls (take a slot and are paid for) against the checks that take none.

--- a/crates/gullspar_direct/src/caller_session.rs
+++ b/crates/gullspar_direct/src/caller_session.rs
@@ -10,6 +10,8 @@
     Statement, TransactionStatus,
 };
 
+use crate::confirmation::Standing;
+use crate::group::Group;
 use crate::request::{Body, Request};
 use crate::trace::Trace;
 use crate::transaction::Transaction;
@@ -215,11 +217,11 @@
         }
         match &answer.result {
             Ok(Some(_)) => {
-                log::info!(request = id.as_str(), service = self.service.as_str(), took_ms = took.as_millis() as u64, trace:% = self.trace; "G0733 a statement was served");
+                log::info!(request = id.as_str(), service = self.service.as_str(), took_ms = took.as_millis() as u64, member = self.trace.member(), part = self.trace.part(), tries = self.trace.tries, at_least = self.trace.at_least().as_str(), reading_age_ms = self.trace.reading_age().as_str(); "G0733 a statement was served");
             }
             Ok(None) => {}
             Err(failure) => {
-                log::info!(request = id.as_str(), service = self.service.as_str(), took_ms = took.as_millis() as u64, code:? = failure.code, reason = failure.text.as_str(), trace:% = self.trace; "G0734 a statement failed");
+                log::info!(request = id.as_str(), service = self.service.as_str(), took_ms = took.as_millis() as u64, code:? = failure.code, reason = failure.text.as_str(), member = self.trace.member(), part = self.trace.part(), tries = self.trace.tries, at_least = self.trace.at_least().as_str(), reading_age_ms = self.trace.reading_age().as_str(), version = self.proxy.directory.version(); "G0734 a statement failed");
             }
         }
         answer
@@ -298,9 +300,24 @@
         self.ran = Some(Access::Write);
         self.trace = transaction.trace.clone();
         let req = self.request(statement, Access::Read, None, &route);
+        let group = transaction.group();
         let ended = transaction.commit(&self.proxy, &req).await;
-        self.own_commit = self.own_commit.max(ended.commit);
-        ended.answer
+        if ended.wrote { self.acknowledge(&group, ended.answer).await } else { ended.answer }
+    }
+
+    /// Lets the success of a write through once it would survive its leader.
+    async fn acknowledge(&mut self, group: &Rc<Group>, answer: Answer) -> Answer {
+        let Some(point) = answer.point else { return answer };
+        match self.proxy.confirm(group, point).await {
+            Standing::Held | Standing::Alone => {
+                self.own_commit = self.own_commit.max(Some(point));
+                answer
+            }
+            Standing::Superseded => {
+                let failure = refusal::unknown("the leader was superseded meanwhile");
+                Answer::failed(failure, TransactionStatus::Idle)
+            }
+        }
     }
 
     /// Runs a read or a write.
@@ -337,7 +354,7 @@
             Access::Write => proxy.write(&group, &req, &mut self.trace).await,
         };
         if access == Access::Write && answer.result.is_ok() {
-            self.own_commit = self.own_commit.max(answer.point);
+            answer = self.acknowledge(&group, answer).await;
         }
         answer.status = TransactionStatus::Idle;
         answer
--- /dev/null
+++ b/crates/gullspar_direct/src/confirmation.rs
@@ -0,0 +1,113 @@
+//! Holding the success of a write back until a replica has it.
+//!
+//! Targets acknowledge a commit by the leader's word alone. If the leader fails before a replica has
+//! received the commit, its successor never had it, and a booking that was confirmed is gone. What is
+//! promised, and what is not, stands in `docs/promises.md`.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use gullspar_border::within;
+use gullspar_model::LogPoint;
+
+use crate::group::Group;
+use crate::target::Target;
+use crate::target_watch;
+use crate::{Borders, Proxy};
+
+/// How long a write waits for a replica.
+///
+/// Replicas have a commit after 8 to 20 ms, and callers want an answer within 120 to 200. With replicas
+/// that receive nothing a write is acknowledged by the leader alone after this time, and counted.
+const CONFIRM_WITHIN: Duration = Duration::from_millis(80);
+
+/// Pause after the first look at the replicas for one write; it doubles with each further look, so that
+/// replicas that are far behind are not asked twenty times for nothing.
+const FIRST_PAUSE: Duration = Duration::from_millis(5);
+
+/// How a commit stands with the replicas.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Standing {
+    /// Whoever leads next has it.
+    Held,
+    /// No replica was seen to have it in time.
+    Alone,
+    /// Another term has begun, and it can't be told whether its log has the commit.
+    Superseded,
+}
+
+impl Proxy {
+    /// Waits until the commit at `point` would survive the leader.
+    pub(crate) async fn confirm(&self, group: &Rc<Group>, point: LogPoint) -> Standing {
+        let clock = &self.borders.clock;
+        let asked = clock.now();
+        let deadline = asked + CONFIRM_WITHIN;
+        let mut look_at = asked + group.usual_lag();
+        let mut pause = FIRST_PAUSE;
+        loop {
+            let progress = group.listen_progress();
+            if let Some(standing) = standing(group, point) {
+                if standing == Standing::Held {
+                    group.learn_lag(clock.now().saturating_duration_since(asked));
+                }
+                return standing;
+            }
+            let now = clock.now();
+            if now >= deadline {
+                log::info!(group = group.name.as_str(), term = point.term.0, position = point.position.0; "G0745 a commit is acknowledged by the leader alone");
+                self.borders.stats.acknowledged_alone();
+                return Standing::Alone;
+            }
+            if now >= look_at {
+                look(&self.borders, group, point);
+                look_at = now + pause;
+                pause *= 2;
+            }
+            // Either way it is looked at again.
+            let _ = within(&**clock, look_at.min(deadline), progress).await;
+        }
+    }
+}
+
+/// How the commit stands by what is known now; `None` if more may be learnt.
+fn standing(group: &Group, point: LogPoint) -> Option<Standing> {
+    if group.newest_term() > point.term {
+        return Some(Standing::Superseded);
+    }
+    let replicas = staying(group);
+    if replicas.is_empty() {
+        return Some(Standing::Alone);
+    }
+    let mut held = replicas.iter().map(|it| has(it, point));
+    // A leader that leaves hands over to one of them, and it is not known to which.
+    let held = if group.leader_leaves() { held.all(|it| it) } else { held.any(|it| it) };
+    held.then_some(Standing::Held)
+}
+
+fn has(target: &Target, point: LogPoint) -> bool {
+    target.point().is_some_and(|it| it.term == point.term && it.position >= point.position)
+}
+
+/// The replicas that may lead next.
+fn staying(group: &Group) -> Vec<Rc<Target>> {
+    let stays = |it: &Rc<Target>| {
+        !group.is_leader(&it.member()) && !it.spec().leaving && !it.is_dark() && it.was_heard()
+    };
+    group.targets().into_iter().filter(stays).collect()
+}
+
+/// Asks the replicas that are not known to have the commit where their logs end.
+fn look(borders: &Borders, group: &Rc<Group>, point: LogPoint) {
+    for target in staying(group).into_iter().filter(|it| !has(it, point)) {
+        if target.looking.replace(true) {
+            continue;
+        }
+        let (borders, group) = (borders.clone(), Rc::clone(group));
+        let task = async move {
+            target_watch::check(&borders, &group, &target).await;
+            target.looking.set(false);
+            group.notify_progress();
+        };
+        compio::runtime::spawn(task).detach();
+    }
+}
--- a/crates/gullspar_direct/src/group.rs
+++ b/crates/gullspar_direct/src/group.rs
@@ -29,8 +29,11 @@
     leaderless_since: Cell<Instant>,
     readings: RefCell<Readings>,
     claims: RefCell<ClaimBook>,
+    /// How long a replica usually needs to have a commit, in microseconds.
+    usual_lag_us: Cell<u64>,
     changed: Event,
     check_now: Event,
+    progress: Event,
 }
 
 impl Group {
@@ -43,8 +46,10 @@
             leaderless_since: Cell::new(now),
             readings: RefCell::default(),
             claims: RefCell::new(ClaimBook::new(lease)),
+            usual_lag_us: Cell::new(0),
             changed: Event::new(),
             check_now: Event::new(),
+            progress: Event::new(),
         })
     }
 
@@ -83,6 +88,29 @@
         self.target(&member).filter(|it| !it.is_dark())
     }
 
+    /// The highest term in which a leader answered.
+    pub(crate) fn newest_term(&self) -> Term {
+        self.newest_term.get()
+    }
+
+    /// Whether the leader has announced that it will go.
+    pub(crate) fn leader_leaves(&self) -> bool {
+        let leader = self.leader.borrow().as_ref().and_then(|it| self.target(&it.member));
+        leader.is_some_and(|it| it.spec().leaving)
+    }
+
+    /// How long to wait before a replica is worth asking for a commit just made.
+    pub(crate) fn usual_lag(&self) -> Duration {
+        Duration::from_micros(self.usual_lag_us.get())
+    }
+
+    /// A replica had a commit this long after it was made. What is learnt lies a little below, so that
+    /// a shorter lag is noticed as well.
+    pub(crate) fn learn_lag(&self, took: Duration) {
+        let sample = took.as_micros() as u64 * 9 / 10;
+        self.usual_lag_us.set((self.usual_lag_us.get() * 7 + sample) / 8);
+    }
+
     pub(crate) fn leaderless_since(&self) -> Instant {
         self.leaderless_since.get()
     }
@@ -171,6 +199,15 @@
         self.changed.listen()
     }
 
+    /// A replica told where its log ends.
+    pub(crate) fn notify_progress(&self) {
+        self.progress.notify(usize::MAX);
+    }
+
+    pub(crate) fn listen_progress(&self) -> EventListener {
+        self.progress.listen()
+    }
+
     /// Has all members checked at once.
     pub(crate) fn check(&self) {
         self.check_now.notify(usize::MAX);
--- a/crates/gullspar_direct/src/lib.rs
+++ b/crates/gullspar_direct/src/lib.rs
@@ -11,6 +11,7 @@
 mod catalogue;
 mod claim_book;
 mod claims;
+mod confirmation;
 mod connection_pool;
 mod directory;
 mod failover;
--- a/crates/gullspar_direct/src/stats.rs
+++ b/crates/gullspar_direct/src/stats.rs
@@ -22,6 +22,7 @@
     promotions: Counter<u64>,
     targets_dark: Counter<u64>,
     rolled_back_points: Counter<u64>,
+    acknowledged_alone: Counter<u64>,
     sessions: Gauge<u64>,
     configuration: Gauge<u64>,
     cut_off: Gauge<u64>,
@@ -72,6 +73,10 @@
                 "Commits that a failover may have undone: those between the new leader's log and the \
                  newest reading of the old one.",
             ),
+            acknowledged_alone: counter(
+                "gullspar_acknowledged_alone",
+                "Commits acknowledged although no replica was seen to have them.",
+            ),
             sessions: gauge("gullspar_sessions", "Callers connected."),
             configuration: gauge(
                 "gullspar_configuration_version",
@@ -117,6 +122,10 @@
         self.rolled_back_points.add(commits, &[]);
     }
 
+    pub(crate) fn acknowledged_alone(&self) {
+        self.acknowledged_alone.add(1, &[]);
+    }
+
     pub(crate) fn levels(&self, levels: &Levels) {
         self.sessions.record(levels.sessions, &[]);
         self.configuration.record(levels.configuration, &[]);
--- a/crates/gullspar_direct/src/target.rs
+++ b/crates/gullspar_direct/src/target.rs
@@ -43,6 +43,8 @@
     avoid_until: Cell<Option<Instant>>,
     behind: Cell<Option<(LogPoint, Instant)>>,
     pub(crate) removed: Cell<bool>,
+    /// A write waits for this replica and has it asked.
+    pub(crate) looking: Cell<bool>,
     clock: Rc<dyn Clock>,
     stats: Rc<Stats>,
 }
@@ -68,6 +70,7 @@
             avoid_until: Cell::new(None),
             behind: Cell::new(None),
             removed: Cell::new(false),
+            looking: Cell::new(false),
             clock: Rc::clone(&borders.clock),
             stats: Rc::clone(&borders.stats),
         })
--- a/crates/gullspar_direct/src/target_watch.rs
+++ b/crates/gullspar_direct/src/target_watch.rs
@@ -33,7 +33,7 @@
 const FULL_PAUSE: Duration = Duration::from_millis(200);
 
 /// What one check brought.
-enum Check {
+pub(crate) enum Check {
     Answered,
     Missed,
     /// Statements use all connections, and were answered lately.
@@ -87,7 +87,8 @@
     }
 }
 
-async fn check(borders: &Borders, group: &Group, target: &Target) -> Check {
+/// Asks the target once whether it leads and where its log ends.
+pub(crate) async fn check(borders: &Borders, group: &Group, target: &Target) -> Check {
     let clock = &borders.clock;
     let spec = target.spec();
     let overdue = !target.heard_since(clock.boot_now().minus(OVERDUE_AFTER));
--- a/crates/gullspar_direct/src/trace.rs
+++ b/crates/gullspar_direct/src/trace.rs
@@ -1,9 +1,10 @@
 //! What decided how a statement was served, for the log.
 
-use std::fmt;
-
 use gullspar_model::{LogPoint, MemberName};
 
+/// What stands in the log where there is nothing to tell.
+const NONE: &str = "-";
+
 /// Where a statement ran last and what was asked of that target.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Trace {
@@ -19,17 +20,29 @@
     pub(crate) tries: u32,
 }
 
-impl fmt::Display for Trace {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let member = self.member.as_ref().map_or("none", MemberName::as_str);
-        let part = if self.on_leader { "leader" } else { "replica" };
-        write!(f, "member={member} part={part} tries={}", self.tries)?;
-        if let Some(point) = self.at_least {
-            write!(f, " at_least={}.{}", point.term.0, point.position.0)?;
-        }
-        if let Some(age) = self.reading_age_ms {
-            write!(f, " reading_age_ms={age}")?;
+impl Trace {
+    /// The target asked last.
+    pub(crate) fn member(&self) -> &str {
+        self.member.as_ref().map_or(NONE, MemberName::as_str)
+    }
+
+    /// What that target was in its group.
+    pub(crate) fn part(&self) -> &'static str {
+        match (&self.member, self.on_leader) {
+            (None, _) => NONE,
+            (Some(_), true) => "leader",
+            (Some(_), false) => "replica",
         }
-        Ok(())
+    }
+
+    /// The point that a replica had to have reached.
+    pub(crate) fn at_least(&self) -> String {
+        let point = self.at_least.map(|it| format!("{}.{}", it.term.0, it.position.0));
+        point.unwrap_or_else(|| NONE.to_owned())
+    }
+
+    /// How old the reading behind that point was.
+    pub(crate) fn reading_age(&self) -> String {
+        self.reading_age_ms.map_or_else(|| NONE.to_owned(), |it| it.to_string())
     }
 }
--- a/crates/gullspar_direct/src/transaction.rs
+++ b/crates/gullspar_direct/src/transaction.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use gullspar_border::within;
-use gullspar_model::{Access, LogPoint, MemberName, NotRun};
+use gullspar_model::{Access, MemberName, NotRun};
 use gullspar_statement::{Answer, Failure, FailureCode, TargetCommand, TransactionStatus};
 
 use crate::attempt::{End, Surroundings};
@@ -45,8 +45,8 @@
 /// How the end of a transaction went.
 pub(crate) struct Ended {
     pub(crate) answer: Answer,
-    /// The commit, where something was written.
-    pub(crate) commit: Option<LogPoint>,
+    /// It succeeded, and something was written.
+    pub(crate) wrote: bool,
 }
 
 impl Transaction {
@@ -62,6 +62,10 @@
         }
     }
 
+    pub(crate) fn group(&self) -> Rc<Group> {
+        Rc::clone(&self.group)
+    }
+
     pub(crate) fn status(&self) -> TransactionStatus {
         if self.failed { TransactionStatus::Failed } else { TransactionStatus::Open }
     }
@@ -104,8 +108,7 @@
             self.roll_back();
         }
         answer.status = TransactionStatus::Idle;
-        let commit = if succeeded && self.wrote { answer.point } else { None };
-        Ended { answer, commit }
+        Ended { answer, wrote: succeeded && self.wrote }
     }
 
     /// Ends the transaction without keeping anything; nobody has to wait for it.
@@ -268,6 +271,6 @@
 
 impl Ended {
     fn refused(failure: Failure) -> Ended {
-        Ended { answer: Answer::failed(failure, TransactionStatus::Idle), commit: None }
+        Ended { answer: Answer::failed(failure, TransactionStatus::Idle), wrote: false }
     }
 }
--- a/crates/gullspar_direct/tests/statements.rs
+++ b/crates/gullspar_direct/tests/statements.rs
@@ -361,3 +361,66 @@
         until(2500, "one connection is left", || world.group.connections(0) <= 1).await;
     });
 }
+
+/// Symptom: a booking that was confirmed is gone after the leader crashed.
+/// Events: the leader commits and answers; it crashes before a replica has received the commit; another
+/// member is promoted without it.
+/// Cause: the caller was told of success by the leader's word alone.
+#[test]
+fn a_write_is_acknowledged_once_a_replica_has_it() {
+    run(async {
+        let world = World::new();
+        let proxy = world.instance(1);
+        world.settle(&proxy).await;
+        world.group.set(1, Fault::Deaf);
+        world.group.set(2, Fault::Deaf);
+        let caller = world.caller(&proxy, LATEST).await;
+        caller.begin_to_say("WRITE slot mine");
+        pause(40).await;
+        assert_eq!(world.group.value("slot"), Some("mine".to_owned()), "the leader has it");
+        assert!(!caller.has_answer(), "and the caller is not told yet");
+        world.group.mend(1);
+        assert!(caller.next().await.unwrap().result.is_ok());
+        world.group.promote(&"m1".into());
+        assert_eq!(world.group.value("slot"), Some("mine".to_owned()));
+    });
+}
+
+/// With replicas that receive nothing, a write is acknowledged by the leader alone after a moment: the
+/// operators chose so, and the log tells.
+#[test]
+fn a_write_does_not_wait_for_deaf_replicas_for_ever() {
+    run(async {
+        let world = World::new();
+        let proxy = world.instance(1);
+        world.settle(&proxy).await;
+        world.group.set(1, Fault::Deaf);
+        world.group.set(2, Fault::Deaf);
+        let caller = world.caller(&proxy, LATEST).await;
+        let started = std::time::Instant::now();
+        caller.done("WRITE slot mine").await;
+        let took = started.elapsed().as_millis();
+        assert!((70..400).contains(&took), "took {took} ms");
+    });
+}
+
+/// Symptom: a caller is told of success by a leader that was superseded.
+/// Events: the leader commits; before a replica has the commit, another term begins without it.
+#[test]
+fn a_write_of_a_superseded_leader_is_not_acknowledged() {
+    run(async {
+        let world = World::new();
+        let proxy = world.instance(1);
+        world.settle(&proxy).await;
+        world.group.set(1, Fault::Deaf);
+        world.group.set(2, Fault::Deaf);
+        let caller = world.caller(&proxy, LATEST).await;
+        caller.begin_to_say("WRITE slot mine");
+        pause(20).await;
+        world.group.promote(&"m1".into());
+        proxy.group(&support::GROUP.into()).unwrap();
+        let answer = caller.next().await.unwrap();
+        assert_eq!(answer.result.unwrap_err().code, FailureCode::Unknown);
+        assert_eq!(world.group.value("slot"), None);
+    });
+}
--- a/crates/gullspar_direct/tests/support/fake_caller.rs
+++ b/crates/gullspar_direct/tests/support/fake_caller.rs
@@ -86,6 +86,11 @@
         future::poll_fn(|cx| self.answers.borrow_mut().poll_next_unpin(cx)).await
     }
 
+    /// Whether an answer waits to be read.
+    pub fn has_answer(&self) -> bool {
+        self.answers.borrow_mut().try_recv().is_ok()
+    }
+
     /// Leaves without a word.
     pub fn leave(&self) {
         self.tx.borrow_mut().take();
