--- a/crates/gullspar_direct/src/confirmation.rs
+++ b/crates/gullspar_direct/src/confirmation.rs
@@ -21,6 +21,13 @@
 /// that receive nothing a write is acknowledged by the leader alone after this time, and counted.
 const CONFIRM_WITHIN: Duration = Duration::from_millis(80);
 
+/// How long a write waits while replicas are known to be further behind than that: the full wait would
+/// end the same way and make the caller late.
+const LAGGING_WAIT: Duration = Duration::from_millis(5);
+
+/// How long replicas that were too far behind for one write are taken to be so for others.
+const LAG_HOLDS_FOR: Duration = Duration::from_millis(500);
+
 /// Pause after the first look at the replicas for one write; it doubles with each further look, so that
 /// replicas that are far behind are not asked twenty times for nothing.
 const FIRST_PAUSE: Duration = Duration::from_millis(5);
@@ -41,7 +48,8 @@
     pub(crate) async fn confirm(&self, group: &Rc<Group>, point: LogPoint) -> Standing {
         let clock = &self.borders.clock;
         let asked = clock.now();
-        let deadline = asked + CONFIRM_WITHIN;
+        let wait = if group.replicas_lag(asked) { LAGGING_WAIT } else { CONFIRM_WITHIN };
+        let deadline = asked + wait;
         let mut look_at = asked + group.usual_lag();
         let mut pause = FIRST_PAUSE;
         loop {
@@ -56,6 +64,9 @@
             if now >= deadline {
                 log::info!(group = group.name.as_str(), term = point.term.0, position = point.position.0; "G0745 a commit is acknowledged by the leader alone");
                 self.borders.stats.acknowledged_alone();
+                if wait == CONFIRM_WITHIN {
+                    group.note_lag(now + LAG_HOLDS_FOR);
+                }
                 return Standing::Alone;
             }
             if now >= look_at {
--- a/crates/gullspar_direct/src/group.rs
+++ b/crates/gullspar_direct/src/group.rs
@@ -31,6 +31,8 @@
     claims: RefCell<ClaimBook>,
     /// How long a replica usually needs to have a commit, in microseconds.
     usual_lag_us: Cell<u64>,
+    /// Until then replicas are taken to be too far behind for writes to wait for them.
+    lag_until: Cell<Option<Instant>>,
     changed: Event,
     check_now: Event,
     progress: Event,
@@ -47,6 +49,7 @@
             readings: RefCell::default(),
             claims: RefCell::new(ClaimBook::new(lease)),
             usual_lag_us: Cell::new(0),
+            lag_until: Cell::new(None),
             changed: Event::new(),
             check_now: Event::new(),
             progress: Event::new(),
@@ -104,6 +107,15 @@
         Duration::from_micros(self.usual_lag_us.get())
     }
 
+    /// Whether replicas are known to be too far behind for a write to wait for them.
+    pub(crate) fn replicas_lag(&self, now: Instant) -> bool {
+        self.lag_until.get().is_some_and(|until| now < until)
+    }
+
+    pub(crate) fn note_lag(&self, until: Instant) {
+        self.lag_until.set(Some(until));
+    }
+
     /// A replica had a commit this long after it was made. What is learnt lies a little below, so that
     /// a shorter lag is noticed as well.
     pub(crate) fn learn_lag(&self, took: Duration) {
