Hand sessions on to homes where connections are too few for all instances

When a share would be less than two, a group has homes in each data centre; others pass sessions on to them at the border of callers, and a home that ends asks first.

--- a/crates/gullspar_direct/src/borders.rs
+++ b/crates/gullspar_direct/src/borders.rs
@@ -8,7 +8,7 @@
 use gullspar_border::{Clock, Entropy, PeerError};
 use gullspar_statement::TargetDialer;
 
-use crate::{Beacon, Claims, Promoter, Snapshot, SnapshotRequest, Stats};
+use crate::{Beacon, Claims, HomeLink, Promoter, Snapshot, SnapshotRequest, Stats};
 
 /// The ways to other instances.
 pub trait PeerChannel {
@@ -22,6 +22,13 @@
         req: SnapshotRequest,
         deadline: Instant,
     ) -> LocalBoxFuture<'static, Result<Snapshot, PeerError>>;
+
+    /// Opens a session of a caller at the instance at `to`.
+    fn open_session(
+        &self,
+        to: SocketAddr,
+        deadline: Instant,
+    ) -> LocalBoxFuture<'static, Result<Box<dyn HomeLink>, PeerError>>;
 }
 
 /// The borders of one instance.
--- a/crates/gullspar_direct/src/caller_session.rs
+++ b/crates/gullspar_direct/src/caller_session.rs
@@ -12,10 +12,11 @@
 
 use crate::confirmation::Standing;
 use crate::group::Group;
+use crate::relay::{self, Relay};
 use crate::request::{Body, Request};
 use crate::trace::Trace;
 use crate::transaction::Transaction;
-use crate::{Phase, Proxy, Route, SessionValues, refusal};
+use crate::{Member, Phase, Proxy, Route, SessionValues, refusal};
 
 /// A read may be silent for this part of the callers' objective before a second target is asked.
 const PATIENCE_DIVISOR: u64 = 2;
@@ -38,6 +39,8 @@
     trace: Trace,
     /// What the statement before did to data, if it was for a target.
     ran: Option<Access>,
+    /// The other side knows that the session is to end, and ends it.
+    asked_to_end: bool,
 }
 
 /// What a session waits for.
@@ -49,59 +52,90 @@
 }
 
 /// Serves one caller until it leaves or the instance ends.
-pub async fn serve_caller(proxy: Rc<Proxy>, mut link: Box<dyn CallerLink>) {
+pub async fn serve_caller(proxy: Rc<Proxy>, link: Box<dyn CallerLink>) {
+    serve(proxy, link, true).await;
+}
+
+/// Serves a caller that another instance has handed on, here and nowhere else.
+pub async fn serve_relayed_caller(proxy: Rc<Proxy>, link: Box<dyn CallerLink>) {
+    serve(proxy, link, false).await;
+}
+
+async fn serve(proxy: Rc<Proxy>, link: Box<dyn CallerLink>, may_hand_on: bool) {
     proxy.shutdown.session_opened();
-    match open(&proxy, &mut link).await {
-        Ok(Some(service)) => {
-            let mut session = Session {
-                proxy: Rc::clone(&proxy),
-                link,
-                service,
-                values: SessionValues::default(),
-                own_commit: None,
-                transaction: None,
-                route: None,
-                idle_deadline: None,
-                trace: Trace::default(),
-                ran: None,
-            };
-            if let Err(err) = session.serve().await {
-                session.explain(&err).await;
-                log::debug!(reason = err.to_string().as_str(); "G0728 a caller's session broke off");
-            }
-            session.abandon();
-        }
-        Ok(None) => {}
-        Err(err) => {
-            log::debug!(reason = err.to_string().as_str(); "G0729 a caller did not open a session");
-        }
+    if let Err(err) = open(&proxy, link, may_hand_on).await {
+        log::debug!(reason = err.to_string().as_str(); "G0728 a caller's session broke off");
     }
     proxy.shutdown.session_closed();
 }
 
-/// Reads which service the caller wants; `None` if it gets none.
+/// Reads which service the caller wants, and serves it here or hands it on.
 async fn open(
-    proxy: &Proxy,
-    link: &mut Box<dyn CallerLink>,
-) -> Result<Option<ServiceName>, CallerLinkError> {
+    proxy: &Rc<Proxy>,
+    mut link: Box<dyn CallerLink>,
+    may_hand_on: bool,
+) -> Result<(), CallerLinkError> {
     let failure = match link.next().await? {
-        Some(CallerMessage::Open { service }) => {
-            if proxy.directory.route(&service).is_some() {
-                link.reply(&Answer::done_locally(TransactionStatus::Idle)).await?;
-                return Ok(Some(service));
+        Some(CallerMessage::Open { service }) => match proxy.directory.route(&service) {
+            Some(route) => {
+                let homes = if may_hand_on { proxy.other_homes(&route.group) } else { None };
+                return match homes {
+                    Some(homes) => hand_on(proxy, link, service, &homes).await,
+                    None => serve_here(proxy, link, service).await,
+                };
             }
-            if proxy.directory.catalogue().is_some() {
+            None if proxy.directory.catalogue().is_some() => {
                 log::info!(service = service.as_str(), version = proxy.directory.version(); "G0730 a caller asked for a service that is not there");
                 no_such_service(&service)
-            } else {
-                refusal::not_run(NotRun::Unreachable)
             }
-        }
+            None => refusal::not_run(NotRun::Unreachable),
+        },
         Some(_) => Failure::new(FailureCode::Malformed, "a session begins by opening a service"),
-        None => return Ok(None),
+        None => {
+            log::debug!("G0729 a caller did not open a session");
+            return Ok(());
+        }
     };
-    link.reply(&Answer::failed(failure, TransactionStatus::Idle)).await?;
-    Ok(None)
+    link.reply(&Answer::failed(failure, TransactionStatus::Idle)).await
+}
+
+async fn hand_on(
+    proxy: &Rc<Proxy>,
+    mut link: Box<dyn CallerLink>,
+    service: ServiceName,
+    homes: &[Member],
+) -> Result<(), CallerLinkError> {
+    let Some(home) = relay::open(proxy, homes).await else {
+        return link.reply(&relay::no_home()).await;
+    };
+    Relay::new(Rc::clone(proxy), link, home).run(CallerMessage::Open { service }).await
+}
+
+async fn serve_here(
+    proxy: &Rc<Proxy>,
+    mut link: Box<dyn CallerLink>,
+    service: ServiceName,
+) -> Result<(), CallerLinkError> {
+    link.reply(&Answer::done_locally(TransactionStatus::Idle)).await?;
+    let mut session = Session {
+        proxy: Rc::clone(proxy),
+        link,
+        service,
+        values: SessionValues::default(),
+        own_commit: None,
+        transaction: None,
+        route: None,
+        idle_deadline: None,
+        trace: Trace::default(),
+        ran: None,
+        asked_to_end: false,
+    };
+    let served = session.serve().await;
+    if let Err(err) = &served {
+        session.explain(err).await;
+    }
+    session.abandon();
+    served
 }
 
 fn no_such_service(service: &ServiceName) -> Failure {
@@ -124,8 +158,12 @@
                     let answer = self.malformed(&"-".into(), "the session is open already");
                     self.link.reply(&answer).await?;
                 }
-                Event::Message(CallerMessage::Close) | Event::Gone | Event::Shutdown => {
-                    return Ok(());
+                Event::Message(CallerMessage::Close) | Event::Gone => return Ok(()),
+                Event::Shutdown => {
+                    if !self.link.ask_to_end().await? {
+                        return Ok(());
+                    }
+                    self.asked_to_end = true;
                 }
                 Event::TransactionIdle => self.give_up_idle(),
             }
@@ -160,10 +198,16 @@
     fn ends_now(&self) -> bool {
         let shutdown = &self.proxy.shutdown;
         let due = match self.transaction {
-            None => shutdown.sheds_idle(),
+            None => shutdown.sheds_idle() || self.is_misplaced(),
             Some(_) => shutdown.phase() >= Phase::ClosingAll,
         };
-        due && self.link.is_quiet()
+        due && !self.asked_to_end && self.link.is_quiet()
+    }
+
+    /// Whether another instance should serve this session by now.
+    fn is_misplaced(&self) -> bool {
+        let route = self.proxy.directory.route(&self.service);
+        route.is_some_and(|it| self.proxy.gives_up(&it.group))
     }
 
     fn status(&self) -> TransactionStatus {
--- a/crates/gullspar_direct/src/failover.rs
+++ b/crates/gullspar_direct/src/failover.rs
@@ -13,6 +13,7 @@
     TURN,
 };
 use crate::group::Group;
+use crate::homes;
 use crate::target::Target;
 use crate::{
     Ballot, Borders, Claim, ClaimError, FencingToken, PeerTable, Phase, PromoteError, Shutdown,
@@ -58,6 +59,9 @@
             let changed = self.group.listen();
             // Either way it is looked at again.
             let _ = within(&*clock, clock.now() + LOOK_EVERY, changed).await;
+            if self.group.is_ended() {
+                return;
+            }
             let Some(cause) = self.cause() else {
                 since = None;
                 continue;
@@ -101,7 +105,7 @@
     fn agreed(&self, leader: Option<&MemberName>) -> bool {
         let now = self.borders.clock.boot_now();
         let ballot = Ballot {
-            counted: self.peers.counted(now),
+            counted: self.peers.counted_for(&self.group.name, now),
             against: 1 + self.peers.see_no_leader(&self.group.name, leader, now),
         };
         ballot.verdict() == Verdict::Replace
@@ -118,18 +122,14 @@
     /// This instance's place in the order in which instances act for this group: whoever acted last
     /// comes first, the others by a hash that spreads the groups over them.
     fn rank(&self) -> u32 {
-        let mut alive = self.peers.alive(self.borders.clock.boot_now());
+        let now = self.borders.clock.boot_now();
+        let mut alive = self.peers.looking_at(&self.group.name, now);
         alive.push(self.own.clone());
         let last = self.group.claims().holder().cloned();
-        alive.sort_by_key(|it| (Some(it) != last.as_ref(), self.weight(it)));
+        alive.sort_by_key(|it| (Some(it) != last.as_ref(), homes::weight(&self.group.name, it)));
         alive.iter().position(|it| *it == self.own).unwrap_or(0) as u32
     }
 
-    fn weight(&self, id: &InstanceId) -> u64 {
-        let text = format!("{}/{}", self.group.name, id);
-        xxhash_rust::xxh3::xxh3_64(text.as_bytes())
-    }
-
     async fn replace(&self, cause: Cause, began: Instant) {
         let clock = Rc::clone(&self.borders.clock);
         let standing = match self.borders.claims.standing(&self.group.name).await {
--- a/crates/gullspar_direct/src/group.rs
+++ b/crates/gullspar_direct/src/group.rs
@@ -33,6 +33,8 @@
     usual_lag_us: Cell<u64>,
     /// Until then replicas are taken to be too far behind for writes to wait for them.
     lag_until: Cell<Option<Instant>>,
+    given_up_at: Cell<Option<Instant>>,
+    ended: Cell<bool>,
     changed: Event,
     check_now: Event,
     progress: Event,
@@ -50,6 +52,8 @@
             claims: RefCell::new(ClaimBook::new(lease)),
             usual_lag_us: Cell::new(0),
             lag_until: Cell::new(None),
+            given_up_at: Cell::new(None),
+            ended: Cell::new(false),
             changed: Event::new(),
             check_now: Event::new(),
             progress: Event::new(),
@@ -201,6 +205,25 @@
         GroupView { group: self.name.clone(), leader, sighting, claim }
     }
 
+    /// When the group is given up to other instances, if it is.
+    pub(crate) fn given_up_at(&self) -> Option<Instant> {
+        self.given_up_at.get()
+    }
+
+    pub(crate) fn set_given_up_at(&self, at: Option<Instant>) {
+        self.given_up_at.set(at);
+    }
+
+    /// Nobody looks after the group here any more.
+    pub(crate) fn end(&self) {
+        self.ended.set(true);
+        self.notify();
+    }
+
+    pub(crate) fn is_ended(&self) -> bool {
+        self.ended.get()
+    }
+
     /// Something about the group changed.
     pub(crate) fn notify(&self) {
         self.changed.notify(usize::MAX);
--- a/crates/gullspar_direct/src/peer_table.rs
+++ b/crates/gullspar_direct/src/peer_table.rs
@@ -1,12 +1,12 @@
 //! The other instances, as far as they were heard.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use gullspar_border::BootInstant;
-use gullspar_model::{GroupName, InstanceId, MemberName};
+use gullspar_model::{DataCentre, GroupName, InstanceId, MemberName};
 
 use crate::{Beacon, Sighting};
 
@@ -25,6 +25,14 @@
 /// an instance that was removed for good must not count for ever.
 const COUNTS_FOR: Duration = Duration::from_secs(15);
 
+/// An instance that takes work.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    pub id: InstanceId,
+    pub address: SocketAddr,
+    pub data_centre: DataCentre,
+}
+
 struct Heard {
     beacon: Beacon,
     at: BootInstant,
@@ -36,13 +44,16 @@
     heard: RefCell<BTreeMap<InstanceId, Heard>>,
     /// Addresses that were named somewhere, heard or not.
     contacts: RefCell<BTreeSet<SocketAddr>>,
+    /// How much longer than a beacon's usual pause an instance may be silent, because all are too many to
+    /// be told each time.
+    slack: Cell<Duration>,
 }
 
 impl PeerTable {
     /// A table that begins with some addresses to ask.
     pub fn new(seeds: impl IntoIterator<Item = SocketAddr>) -> PeerTable {
         let contacts = RefCell::new(seeds.into_iter().collect());
-        PeerTable { heard: RefCell::default(), contacts }
+        PeerTable { heard: RefCell::default(), contacts, slack: Cell::new(Duration::ZERO) }
     }
 
     /// Takes a beacon that arrived at `now`.
@@ -64,27 +75,73 @@
 
     /// Addresses of the instances that are alive.
     pub fn alive_addresses(&self, now: BootInstant) -> Vec<SocketAddr> {
-        self.select(now, ALIVE_FOR, |it| Some(it.address))
+        self.select(now, self.alive_for(), |it| Some(it.address))
+    }
+
+    /// Says how long beacons of one instance may be apart beyond the usual.
+    pub fn set_slack(&self, slack: Duration) {
+        self.slack.set(slack);
+    }
+
+    /// The other instances that take work.
+    pub fn members(&self, now: BootInstant) -> Vec<Member> {
+        self.select(now, self.alive_for(), |it| {
+            (!it.leaving).then(|| Member {
+                id: it.from.clone(),
+                address: it.address,
+                data_centre: it.data_centre.clone(),
+            })
+        })
+    }
+
+    fn alive_for(&self) -> Duration {
+        ALIVE_FOR + 2 * self.slack.get()
     }
 
     /// Names of the instances that are alive and stay.
     pub fn alive(&self, now: BootInstant) -> Vec<InstanceId> {
-        self.select(now, ALIVE_FOR, |it| (!it.leaving).then(|| it.from.clone()))
+        self.select(now, self.alive_for(), |it| (!it.leaving).then(|| it.from.clone()))
+    }
+
+    /// Names of the instances that look at `group` and stay.
+    pub fn looking_at(&self, group: &GroupName, now: BootInstant) -> Vec<InstanceId> {
+        self.select(now, self.alive_for(), |it| {
+            let has_view = it.views.iter().any(|it| it.group == *group);
+            (!it.leaving && has_view).then(|| it.from.clone())
+        })
+    }
+
+    /// Addresses of the instances that look at any of `groups`.
+    pub fn addresses_looking_at(&self, groups: &[GroupName], now: BootInstant) -> Vec<SocketAddr> {
+        self.select(now, COUNTS_FOR, |it| {
+            it.views.iter().any(|it| groups.contains(&it.group)).then_some(it.address)
+        })
     }
 
     /// Names of the instances that are alive, those on their way out included.
     pub fn running(&self, now: BootInstant) -> Vec<InstanceId> {
-        self.select(now, ALIVE_FOR, |it| Some(it.from.clone()))
+        self.select(now, self.alive_for(), |it| Some(it.from.clone()))
     }
 
-    /// Instances that count in a majority, this one included.
+    /// Instances that count, this one included.
     pub fn counted(&self, now: BootInstant) -> usize {
         1 + self.select(now, COUNTS_FOR, |it| (!it.leaving).then_some(())).len()
     }
 
+    /// Instances that count in a majority about `group`, this one included: those that look at it.
+    pub fn counted_for(&self, group: &GroupName, now: BootInstant) -> usize {
+        let looks = |it: &Beacon| {
+            let has_view = it.views.iter().any(|it| it.group == *group);
+            (!it.leaving && has_view).then_some(())
+        };
+        1 + self.select(now, COUNTS_FOR, looks).len()
+    }
+
     /// Whether most of the instances that count are out of this one's reach.
     pub fn is_isolated(&self, now: BootInstant) -> bool {
-        let reached = 1 + self.select(now, OUT_OF_REACH_AFTER, |it| Some(it.leaving)).len();
+        let reached = 1 + self
+            .select(now, OUT_OF_REACH_AFTER + 2 * self.slack.get(), |it| Some(it.leaving))
+            .len();
         2 * reached <= self.counted(now)
     }
 
@@ -100,7 +157,7 @@
             let leads = view.sighting == Sighting::Leads && view.leader.as_ref() == Some(leader);
             leads.then_some(())
         };
-        2 * self.select(now, VIEW_HOLDS_FOR, sees).len() > self.counted(now)
+        2 * self.select(now, VIEW_HOLDS_FOR, sees).len() > self.counted_for(group, now)
     }
 
     /// Other instances that lately saw no working leader in `group`, or saw this one fail.
@@ -134,7 +191,7 @@
             let list = revision.is_some_and(|known| it.target_revision > known && it.reaches_store);
             (it.catalogue_version > version || list).then_some(it.address)
         };
-        self.select(now, ALIVE_FOR, ahead).into_iter().next()
+        self.select(now, self.alive_for(), ahead).into_iter().next()
     }
 
     fn select<T>(
--- a/crates/gullspar_direct/src/proxy.rs
+++ b/crates/gullspar_direct/src/proxy.rs
@@ -8,15 +8,18 @@
 
 use gullspar_border::{BootInstant, PeerError, within};
 use gullspar_model::{DataCentre, GroupName, InstanceId};
+use gullspar_statement::TargetSpec;
 
 use crate::admission_limit::{connection_share, statements_at_once};
 use crate::failover;
 use crate::group::Group;
+use crate::homes;
 use crate::stats::Levels;
 use crate::target::Target;
 use crate::target_watch;
 use crate::{
-    Beacon, Borders, CutOff, Directory, PeerTable, Phase, Shutdown, Snapshot, SnapshotRequest,
+    Beacon, Borders, CutOff, Directory, GroupLimits, Member, PeerTable, Phase, Shutdown, Snapshot,
+    SnapshotRequest,
 };
 
 /// Between two beacons to each contact.
@@ -47,6 +50,9 @@
 /// two refusals.
 pub const ROTATION: Duration = Duration::from_millis(2200);
 
+/// How long a group that other instances are homes of now is kept for the sessions that are open.
+const GIVE_UP_AFTER: Duration = Duration::from_secs(4);
+
 /// How often capacities and memberships are looked at without a cause.
 const TEND_EVERY: Duration = Duration::from_millis(500);
 
@@ -177,11 +183,12 @@
         self.store_heard.borrow().is_some_and(|at| now.since(at) < STORE_SILENT_AFTER)
     }
 
-    /// Brings groups, targets and their capacities in line with the directory.
+    /// Brings groups, targets and their capacities in line with the directory and the other instances.
     fn tend_groups(&self) {
+        let now = self.borders.clock.now();
         let targets = self.directory.targets();
-        let instances = 1 + self.peers.alive(self.borders.clock.boot_now()).len();
         let catalogue = self.directory.catalogue();
+        let members = self.members();
         for group in self.groups() {
             for target in group.targets() {
                 let member = target.member();
@@ -191,29 +198,92 @@
             }
         }
         for spec in targets {
-            let group = self.group_or_new(&spec.group);
-            let target = group.target(&spec.member).unwrap_or_else(|| {
-                let target = Target::new(Rc::clone(&spec), &self.borders);
-                group.add(Rc::clone(&target));
-                let watch = target_watch::watch(
-                    self.borders.clone(),
-                    Rc::clone(&group),
-                    Rc::clone(&target),
-                );
-                compio::runtime::spawn(watch).detach();
-                target
-            });
-            target.admission.set_capacity(statements_at_once(spec.slots, instances));
             let limits = catalogue.as_ref().and_then(|it| it.groups.get(&spec.group).copied());
-            if let Some(limits) = limits {
-                target.pool.set_share(connection_share(limits, instances));
+            if limits.is_none_or(|it| self.is_home(&spec.group, it, &members)) {
+                let holders = limits.map_or(1, |it| homes::holders(&spec.group, it, &members));
+                self.tend_target(spec, limits, holders);
             }
-            if *target.spec() != *spec {
-                if spec.leaving && !target.spec().leaving {
-                    log::info!(member = spec.member.as_str(), group = spec.group.as_str(); "G0713 a target is leaving");
+        }
+        self.give_up_groups(&members, now);
+    }
+
+    fn tend_target(&self, spec: Rc<TargetSpec>, limits: Option<GroupLimits>, holders: usize) {
+        let group = self.group_or_new(&spec.group);
+        let target = group.target(&spec.member).unwrap_or_else(|| self.new_target(&group, &spec));
+        target.admission.set_capacity(statements_at_once(spec.slots, holders));
+        if let Some(limits) = limits {
+            target.pool.set_share(connection_share(limits, holders));
+        }
+        if *target.spec() != *spec {
+            if spec.leaving && !target.spec().leaving {
+                log::info!(member = spec.member.as_str(), group = spec.group.as_str(); "G0713 a target is leaving");
+            }
+            target.set_spec(spec);
+            group.notify();
+        }
+    }
+
+    fn new_target(&self, group: &Rc<Group>, spec: &Rc<TargetSpec>) -> Rc<Target> {
+        let target = Target::new(Rc::clone(spec), &self.borders);
+        group.add(Rc::clone(&target));
+        let watch = target_watch::watch(self.borders.clone(), Rc::clone(group), Rc::clone(&target));
+        compio::runtime::spawn(watch).detach();
+        target
+    }
+
+    /// All instances that take work, this one included.
+    fn members(&self) -> Vec<Member> {
+        let mut members = self.peers.members(self.borders.clock.boot_now());
+        members.push(Member {
+            id: self.own.id.clone(),
+            address: self.own.address,
+            data_centre: self.own.data_centre.clone(),
+        });
+        members
+    }
+
+    fn is_home(&self, group: &GroupName, limits: GroupLimits, members: &[Member]) -> bool {
+        let homes = homes::homes(group, limits, &self.own.data_centre, members);
+        homes.is_none_or(|it| it.iter().any(|it| it.id == self.own.id))
+    }
+
+    /// The instances to hand a session of `group` on to, best first; `None` if it is served here.
+    pub(crate) fn other_homes(&self, group: &GroupName) -> Option<Vec<Member>> {
+        let limits = self.directory.catalogue()?.groups.get(group).copied()?;
+        let mut homes = homes::homes(group, limits, &self.own.data_centre, &self.members())?;
+        if homes.iter().any(|it| it.id == self.own.id) {
+            return None;
+        }
+        // Each session takes its own turn, so that the homes share the work.
+        let turn = self.borders.entropy.next_u64() as usize % homes.len().max(1);
+        homes.rotate_left(turn);
+        Some(homes)
+    }
+
+    /// Whether this instance is no longer a home of `group` and keeps it only for sessions that are open.
+    pub(crate) fn gives_up(&self, group: &GroupName) -> bool {
+        self.group(group).is_some_and(|it| it.given_up_at().is_some())
+    }
+
+    /// Gives up groups that other instances are homes of now, once their sessions had time to leave.
+    fn give_up_groups(&self, members: &[Member], now: Instant) {
+        let Some(catalogue) = self.directory.catalogue() else { return };
+        for group in self.groups() {
+            let limits = catalogue.groups.get(&group.name).copied();
+            let home = limits.is_none_or(|it| self.is_home(&group.name, it, members));
+            match (home, group.given_up_at()) {
+                (true, _) => group.set_given_up_at(None),
+                (false, None) => {
+                    log::info!(group = group.name.as_str(); "G0750 other instances are the homes of a group now");
+                    group.set_given_up_at(Some(now + GIVE_UP_AFTER));
+                    self.shutdown.notify();
                 }
-                target.set_spec(spec);
-                group.notify();
+                (false, Some(at)) if now >= at => {
+                    group.targets().iter().for_each(|it| group.remove(&it.member()));
+                    self.groups.borrow_mut().remove(&group.name);
+                    group.end();
+                }
+                (false, Some(_)) => {}
             }
         }
     }
@@ -255,6 +325,11 @@
             let beacon = self.beacon();
             let contacts = self.peers.contacts(self.own.address);
             let count = contacts.len().min(BEACON_FANOUT);
+            let rounds = contacts.len().div_ceil(BEACON_FANOUT).max(1) as u32;
+            self.peers.set_slack(BEACON_EVERY * (rounds - 1));
+            for close in self.close_contacts(&contacts) {
+                self.borders.peers.send(close, &beacon);
+            }
             for step in 0..count {
                 let at = (turn + step) % contacts.len();
                 self.borders.peers.send(contacts[at], &beacon);
@@ -272,6 +347,16 @@
         }
     }
 
+    /// Instances that look at the same groups, if all are too many to be told each time: they decide on
+    /// promotions together, and need each other's views at once.
+    fn close_contacts(&self, contacts: &[SocketAddr]) -> Vec<SocketAddr> {
+        if contacts.len() <= BEACON_FANOUT {
+            return Vec::new();
+        }
+        let groups: Vec<GroupName> = self.groups().iter().map(|it| it.name.clone()).collect();
+        self.peers.addresses_looking_at(&groups, self.borders.clock.boot_now())
+    }
+
     /// What this instance tells the others now.
     fn beacon(&self) -> Beacon {
         let clock = &self.borders.clock;
--- /dev/null
+++ b/crates/gullspar_direct/src/relay.rs
@@ -0,0 +1,180 @@
+//! Handing a caller's session on to an instance that holds connections to its group.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::future::{self, Either, LocalBoxFuture};
+use gullspar_border::PeerError;
+use gullspar_model::{NotRun, record};
+use gullspar_statement::{Answer, CallerLink, CallerLinkError, CallerMessage, TransactionStatus};
+
+use crate::{Member, Phase, Proxy, refusal};
+
+/// How long opening the way to a home may take before the next one is tried.
+const OPEN_WITHIN: Duration = Duration::from_millis(250);
+
+record! {
+    /// What the instance that a caller is connected to sends to the home.
+    pub enum RelayMessage {
+        Caller(CallerMessage),
+        /// Nothing more follows, as the home has asked.
+        Ended,
+    }
+}
+
+record! {
+    /// What the home sends back.
+    pub enum RelayReply {
+        Answer(Answer),
+        /// The home wants to end the session; whatever was sent before is answered still.
+        ///
+        /// Closed without it, a request on its way between the two instances would be lost though one of
+        /// them had read it.
+        Ending,
+    }
+}
+
+/// The way to a home, for one session.
+pub trait HomeLink {
+    /// Sends one message.
+    fn send<'a>(
+        &'a mut self,
+        message: &'a RelayMessage,
+    ) -> LocalBoxFuture<'a, Result<(), PeerError>>;
+
+    /// The next reply; `None` when the home has gone. A call that is dropped loses nothing.
+    fn next(&mut self) -> LocalBoxFuture<'_, Result<Option<RelayReply>, PeerError>>;
+}
+
+/// Opens a session at the first of `homes` that answers.
+pub(crate) async fn open(proxy: &Proxy, homes: &[Member]) -> Option<Box<dyn HomeLink>> {
+    for home in homes {
+        let deadline = proxy.borders.clock.now() + OPEN_WITHIN;
+        match proxy.borders.peers.open_session(home.address, deadline).await {
+            Ok(link) => return Some(link),
+            Err(PeerError::NoAnswer(reason)) => {
+                log::info!(home = home.id.as_str(), reason = reason.as_str(); "G0746 a home could not be reached");
+            }
+        }
+    }
+    None
+}
+
+/// A session that runs elsewhere.
+pub(crate) struct Relay {
+    pub(crate) proxy: Rc<Proxy>,
+    pub(crate) caller: Box<dyn CallerLink>,
+    pub(crate) home: Box<dyn HomeLink>,
+    /// Messages that are not answered yet.
+    unanswered: usize,
+    status: TransactionStatus,
+    ending: bool,
+}
+
+/// What a relay waits for.
+enum Event {
+    Caller(Result<Option<CallerMessage>, CallerLinkError>),
+    Home(Result<Option<RelayReply>, PeerError>),
+    Shutdown,
+}
+
+impl Relay {
+    pub(crate) fn new(
+        proxy: Rc<Proxy>,
+        caller: Box<dyn CallerLink>,
+        home: Box<dyn HomeLink>,
+    ) -> Relay {
+        let status = TransactionStatus::Idle;
+        Relay { proxy, caller, home, unanswered: 0, status, ending: false }
+    }
+
+    /// Passes messages on until either side ends.
+    pub(crate) async fn run(mut self, opening: CallerMessage) -> Result<(), CallerLinkError> {
+        if !self.pass_on(opening).await? {
+            return Ok(());
+        }
+        loop {
+            if self.may_end() {
+                return Ok(());
+            }
+            match self.next_event().await {
+                Event::Shutdown => {}
+                Event::Caller(message) => match message? {
+                    None | Some(CallerMessage::Close) => return Ok(()),
+                    Some(message) => {
+                        if !self.pass_on(message).await? {
+                            return Ok(());
+                        }
+                    }
+                },
+                Event::Home(Ok(Some(RelayReply::Answer(answer)))) => {
+                    self.unanswered = self.unanswered.saturating_sub(1);
+                    self.status = answer.status;
+                    self.caller.reply(&answer).await?;
+                }
+                Event::Home(Ok(Some(RelayReply::Ending))) => {
+                    self.ending = true;
+                    if self.home.send(&RelayMessage::Ended).await.is_err() {
+                        return self.home_is_gone().await;
+                    }
+                }
+                Event::Home(_) => return self.home_is_gone().await,
+            }
+        }
+    }
+
+    /// Whether nothing is under way and one of the two instances ends.
+    fn may_end(&self) -> bool {
+        let shutdown = &self.proxy.shutdown;
+        let due = match self.status {
+            TransactionStatus::Idle => self.ending || shutdown.sheds_idle(),
+            _ => self.ending || shutdown.phase() >= Phase::ClosingAll,
+        };
+        due && self.unanswered == 0 && (self.ending || self.caller.is_quiet())
+    }
+
+    async fn next_event(&mut self) -> Event {
+        let changed = self.proxy.shutdown.listen();
+        let ending = self.ending;
+        let caller = async {
+            if ending {
+                // The home takes nothing more.
+                future::pending().await
+            } else {
+                self.caller.next().await
+            }
+        };
+        futures::pin_mut!(caller);
+        let home = self.home.next();
+        match future::select(future::select(caller, home), changed).await {
+            Either::Left((Either::Left((message, _)), _)) => Event::Caller(message),
+            Either::Left((Either::Right((reply, _)), _)) => Event::Home(reply),
+            Either::Right(_) => Event::Shutdown,
+        }
+    }
+
+    /// Sends a message on; `false` if the home has gone and the caller has been told.
+    async fn pass_on(&mut self, message: CallerMessage) -> Result<bool, CallerLinkError> {
+        self.unanswered += 1;
+        if self.home.send(&RelayMessage::Caller(message)).await.is_err() {
+            self.home_is_gone().await?;
+            return Ok(false);
+        }
+        Ok(true)
+    }
+
+    /// Answers what is under way, truthfully: it may have run.
+    async fn home_is_gone(&mut self) -> Result<(), CallerLinkError> {
+        log::info!(unanswered = self.unanswered; "G0747 the home of a session is gone");
+        if self.unanswered > 0 {
+            let failure = refusal::unknown("the instance that served the session is gone");
+            self.caller.reply(&Answer::failed(failure, TransactionStatus::Idle)).await?;
+        }
+        Ok(())
+    }
+}
+
+/// The answer where no home can be reached.
+pub(crate) fn no_home() -> Answer {
+    Answer::failed(refusal::not_run(NotRun::Unreachable), TransactionStatus::Idle)
+}
--- a/crates/gullspar_direct/src/shutdown.rs
+++ b/crates/gullspar_direct/src/shutdown.rs
@@ -68,6 +68,11 @@
         }
     }
 
+    /// Has all sessions look whether they should end.
+    pub(crate) fn notify(&self) {
+        self.changed.notify(usize::MAX);
+    }
+
     /// Whether sessions without a transaction are to connect elsewhere.
     pub(crate) fn sheds_idle(&self) -> bool {
         self.phase.get() >= Phase::ClosingIdle || self.cut_off.get() == CutOff::OutOfRotation
--- /dev/null
+++ b/crates/gullspar_direct/tests/homes.rs
@@ -0,0 +1,99 @@
+//! Many instances before few connections: sessions are handed on to homes.
+
+#![allow(clippy::unwrap_used, reason = "a test that can't go on must fail")]
+
+mod support;
+
+use std::rc::Rc;
+
+use gullspar_direct::{Phase, Proxy};
+use gullspar_statement::FailureCode;
+use support::{BOUNDED, LATEST, World, pause, run, until};
+
+/// Connections to each target that the configuration allows in these tests.
+const CONNECTIONS: u32 = 10;
+
+/// More instances than can each have two of the connections.
+const INSTANCES: u16 = 8;
+
+async fn many(world: &World) -> Vec<Rc<Proxy>> {
+    let proxies: Vec<Rc<Proxy>> = (1..=INSTANCES).map(|it| world.instance(it)).collect();
+    for proxy in &proxies {
+        proxy.directory.apply_catalogue(support::with_connections(2, CONNECTIONS));
+    }
+    pause(6000).await;
+    proxies
+}
+
+fn homes(proxies: &[Rc<Proxy>]) -> Vec<Rc<Proxy>> {
+    proxies.iter().filter(|it| !it.groups().is_empty()).map(Rc::clone).collect()
+}
+
+/// Symptom: with many instances, one statement in five is refused and targets turn away thousands of
+/// connections a second.
+/// Cause: every instance opens its own connections, and there are not enough for all.
+#[test]
+fn only_homes_hold_connections_and_everybody_is_served() {
+    run(async {
+        let world = World::new();
+        let proxies = many(&world).await;
+        let homes = homes(&proxies);
+        assert!(!homes.is_empty() && homes.len() < proxies.len(), "{} homes", homes.len());
+        for (at, proxy) in proxies.iter().enumerate() {
+            let caller = world.caller(proxy, LATEST).await;
+            caller.done(&format!("WRITE item{at} x")).await;
+            caller.done("BEGIN").await;
+            assert_eq!(caller.done(&format!("READ item{at}")).await, ["x"]);
+            caller.done("COMMIT").await;
+            caller.done("SET zone east").await;
+            caller.done("PREPARE s READ q").await;
+            caller.done("EXECUTE s a").await;
+        }
+        for member in 0..3 {
+            let open = world.group.connections(member);
+            assert!(open <= CONNECTIONS, "{open} connections to m{member}");
+        }
+    });
+}
+
+/// Symptom: callers of one instance lose requests when another one is restarted.
+/// Events: a home is told to end while it serves sessions that others handed on.
+/// Cause: it closed them although a request was on its way between the two.
+#[test]
+fn a_home_that_ends_answers_what_is_on_its_way() {
+    run(async {
+        let world = World::new();
+        let proxies = many(&world).await;
+        let homes = homes(&proxies);
+        let other = proxies.iter().find(|it| it.groups().is_empty()).unwrap();
+        world.group.work_ms.set(150);
+        let busy = world.caller(other, LATEST).await;
+        let idle = world.caller(other, BOUNDED).await;
+        busy.begin_to_say("WRITE slot mine");
+        pause(30).await;
+        homes.iter().for_each(|it| it.shutdown.enter(Phase::ClosingIdle));
+        assert!(busy.next().await.unwrap().result.is_ok());
+        assert_eq!(busy.next().await, None, "then the session is closed");
+        assert_eq!(idle.next().await, None);
+        until(1000, "no session is left", || homes.iter().all(|it| it.shutdown.sessions() == 0))
+            .await;
+    });
+}
+
+/// A home that dies with a write under way leaves its outcome unknown, and says so at once.
+#[test]
+fn a_home_that_dies_leaves_a_write_unknown() {
+    run(async {
+        let world = World::new();
+        let proxies = many(&world).await;
+        let other = proxies.iter().find(|it| it.groups().is_empty()).unwrap();
+        world.group.work_ms.set(300);
+        let caller = world.caller(other, LATEST).await;
+        caller.begin_to_say("WRITE slot mine");
+        pause(50).await;
+        world.network.break_sessions();
+        let answer = caller.next().await.unwrap();
+        assert_eq!(answer.result.unwrap_err().code, FailureCode::Unknown);
+        assert_eq!(caller.next().await, None);
+    });
+}
--- a/crates/gullspar_direct/tests/support/fake_peers.rs
+++ b/crates/gullspar_direct/tests/support/fake_peers.rs
@@ -9,13 +9,18 @@
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
 use gullspar_border::PeerError;
-use gullspar_direct::{Beacon, PeerChannel, Proxy, Snapshot, SnapshotRequest};
+use gullspar_direct::{
+    Beacon, HomeLink, PeerChannel, Proxy, Snapshot, SnapshotRequest, serve_relayed_caller,
+};
+
+use super::fake_relay;
 
 /// All instances of a test.
 #[derive(Default)]
 pub struct FakeNetwork {
     instances: RefCell<BTreeMap<SocketAddr, Rc<Proxy>>>,
     cut_off: RefCell<BTreeSet<SocketAddr>>,
+    sessions: RefCell<Vec<compio::runtime::JoinHandle<()>>>,
 }
 
 impl FakeNetwork {
@@ -28,6 +33,11 @@
         self.cut_off.borrow_mut().insert(SocketAddr::from(([127, 0, 0, 1], number)));
     }
 
+    /// Ends all sessions between instances at once, as when a home dies.
+    pub fn break_sessions(&self) {
+        self.sessions.borrow_mut().clear();
+    }
+
     pub fn heal(&self) {
         self.cut_off.borrow_mut().clear();
     }
@@ -69,4 +79,21 @@
         };
         async move { result }.boxed_local()
     }
+
+    fn open_session(
+        &self,
+        to: SocketAddr,
+        _deadline: Instant,
+    ) -> LocalBoxFuture<'static, Result<Box<dyn HomeLink>, PeerError>> {
+        let result = match self.network.reach(self.own, to) {
+            Some(proxy) => {
+                let (home, relayed) = fake_relay::pair();
+                let served = serve_relayed_caller(proxy, Box::new(relayed));
+                self.network.sessions.borrow_mut().push(compio::runtime::spawn(served));
+                Ok(Box::new(home) as Box<dyn HomeLink>)
+            }
+            None => Err(PeerError::NoAnswer("cut".to_owned())),
+        };
+        async move { result }.boxed_local()
+    }
 }
--- /dev/null
+++ b/crates/gullspar_direct/tests/support/fake_relay.rs
@@ -0,0 +1,72 @@
+//! A session between two instances over channels.
+
+use futures::channel::mpsc;
+use futures::future::LocalBoxFuture;
+use futures::{FutureExt, StreamExt};
+use gullspar_border::PeerError;
+use gullspar_direct::{HomeLink, RelayMessage, RelayReply};
+use gullspar_statement::{Answer, CallerLink, CallerLinkError, CallerMessage};
+
+/// The side of the instance that the caller is connected to.
+pub struct FakeHomeLink {
+    tx: mpsc::UnboundedSender<RelayMessage>,
+    rx: mpsc::UnboundedReceiver<RelayReply>,
+}
+
+/// The side of the home.
+pub struct FakeRelayedCaller {
+    tx: mpsc::UnboundedSender<RelayReply>,
+    rx: mpsc::UnboundedReceiver<RelayMessage>,
+}
+
+pub fn pair() -> (FakeHomeLink, FakeRelayedCaller) {
+    let (to_home, from_other) = mpsc::unbounded();
+    let (to_other, from_home) = mpsc::unbounded();
+    let home = FakeHomeLink { tx: to_home, rx: from_home };
+    (home, FakeRelayedCaller { tx: to_other, rx: from_other })
+}
+
+impl HomeLink for FakeHomeLink {
+    fn send<'a>(
+        &'a mut self,
+        message: &'a RelayMessage,
+    ) -> LocalBoxFuture<'a, Result<(), PeerError>> {
+        let sent = self.tx.unbounded_send(message.clone());
+        let result = sent.map_err(|err| PeerError::NoAnswer(err.to_string()));
+        async move { result }.boxed_local()
+    }
+
+    fn next(&mut self) -> LocalBoxFuture<'_, Result<Option<RelayReply>, PeerError>> {
+        async move { Ok(self.rx.next().await) }.boxed_local()
+    }
+}
+
+impl CallerLink for FakeRelayedCaller {
+    fn next(&mut self) -> LocalBoxFuture<'_, Result<Option<CallerMessage>, CallerLinkError>> {
+        async move {
+            match self.rx.next().await {
+                Some(RelayMessage::Caller(message)) => Ok(Some(message)),
+                Some(RelayMessage::Ended) | None => Ok(None),
+            }
+        }
+        .boxed_local()
+    }
+
+    fn reply<'a>(
+        &'a mut self,
+        answer: &'a Answer,
+    ) -> LocalBoxFuture<'a, Result<(), CallerLinkError>> {
+        // The other side may have gone; the session ends with the next message.
+        let _ = self.tx.unbounded_send(RelayReply::Answer(answer.clone()));
+        async { Ok(()) }.boxed_local()
+    }
+
+    fn is_quiet(&self) -> bool {
+        true
+    }
+
+    fn ask_to_end(&mut self) -> LocalBoxFuture<'_, Result<bool, CallerLinkError>> {
+        let _ = self.tx.unbounded_send(RelayReply::Ending);
+        async { Ok(true) }.boxed_local()
+    }
+}
--- a/crates/gullspar_direct/tests/support/mod.rs
+++ b/crates/gullspar_direct/tests/support/mod.rs
@@ -8,6 +8,7 @@
 mod fake_group;
 mod fake_peers;
 mod fake_promoter;
+mod fake_relay;
 
 use std::future::Future;
 use std::net::SocketAddr;
@@ -140,6 +141,13 @@
     proxy.group(&GROUP.into())?.leader().map(|it| it.member)
 }
 
+/// The usual configuration with this many connections to each member.
+pub fn with_connections(version: u64, connections: u32) -> Catalogue {
+    let mut catalogue = catalogue(version);
+    catalogue.groups.insert(GROUP.into(), GroupLimits { connections });
+    catalogue
+}
+
 pub fn catalogue(version: u64) -> Catalogue {
     let route = |freshness| Route {
         group: GROUP.into(),
@@ -156,7 +164,7 @@
     Catalogue {
         version,
         routes: routes.into_iter().collect(),
-        groups: [(GroupName::new(GROUP), GroupLimits { connections: 30 })].into_iter().collect(),
+        groups: [(GroupName::new(GROUP), GroupLimits { connections: 60 })].into_iter().collect(),
         transaction_idle_ms: TRANSACTION_IDLE_MS,
     }
 }
--- a/crates/gullspar_net/src/datagram_peers.rs
+++ b/crates/gullspar_net/src/datagram_peers.rs
@@ -1,31 +1,26 @@
-//! Beacons as datagrams, and snapshots over short connections.
+//! Beacons as datagrams; snapshots and sessions over connections.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::BytesMut;
 use compio::BufResult;
 use compio::net::{TcpListener, TcpStream, UdpSocket};
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
-use gullspar_border::{Clock, Link, PeerError, within};
-use gullspar_direct::{Beacon, PeerChannel, Proxy, Snapshot, SnapshotRequest};
-use serde::Serialize;
-use serde::de::DeserializeOwned;
+use gullspar_border::{Clock, PeerError, within};
+use gullspar_direct::{
+    Beacon, HomeLink, PeerChannel, Proxy, Snapshot, SnapshotRequest, serve_relayed_caller,
+};
 
 use crate::TcpLink;
+use crate::framed::{Framed, Hello};
+use crate::relay_link::{RelayedCaller, TcpHomeLink};
 
 /// The longest beacon that is sent, in bytes; it fits a datagram on every usual link.
 const BEACON_LIMIT: usize = 8 * 1024;
 
-/// The longest snapshot that is read, in bytes: some thousand services.
-const SNAPSHOT_LIMIT: usize = 8 * 1024 * 1024;
-
-/// Bytes of the length before each message on a connection.
-const LENGTH_BYTES: usize = 4;
-
-/// How long an instance that asks for a snapshot may take over it.
+/// How long an instance that connects may take to say what it wants, and to take a snapshot.
 const SERVE_WITHIN: Duration = Duration::from_secs(2);
 
 /// The ways to other instances over UDP and TCP, both on the same port.
@@ -74,15 +69,29 @@
         async move {
             let exchange = async {
                 let stream = TcpStream::connect(from).await.map_err(no_answer)?;
-                let mut link = TcpLink::new(stream);
-                write_message(&mut link, &req).await?;
-                read_message(&mut link).await
+                let mut framed = Framed::new(TcpLink::new(stream));
+                framed.write(&Hello::Snapshot(req)).await?;
+                framed.read().await?.ok_or_else(|| no_answer("the connection ended"))
             };
             let answered = within(&*clock, deadline, exchange).await;
             answered.map_err(|_| no_answer("the deadline passed"))?
         }
         .boxed_local()
     }
+
+    fn open_session(
+        &self,
+        to: SocketAddr,
+        deadline: Instant,
+    ) -> LocalBoxFuture<'static, Result<Box<dyn HomeLink>, PeerError>> {
+        let clock = Rc::clone(&self.clock);
+        async move {
+            let opened = within(&*clock, deadline, TcpHomeLink::open(to)).await;
+            let link = opened.map_err(|_| no_answer("the deadline passed"))??;
+            Ok(Box::new(link) as Box<dyn HomeLink>)
+        }
+        .boxed_local()
+    }
 }
 
 /// Takes the beacons that arrive on `socket`; never ends.
@@ -104,17 +113,13 @@
     }
 }
 
-/// Hands out snapshots on `listener`; never ends.
-pub async fn serve_snapshots(listener: TcpListener, proxy: Rc<Proxy>, clock: Rc<dyn Clock>) {
+/// Answers other instances on `listener`: snapshots, and sessions of callers that they hand on; never
+/// ends.
+pub async fn serve_instances(listener: TcpListener, proxy: Rc<Proxy>, clock: Rc<dyn Clock>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let (proxy, clock) = (Rc::clone(&proxy), Rc::clone(&clock));
-                let serve = async move {
-                    let deadline = clock.now() + SERVE_WITHIN;
-                    // Whoever asked and hears nothing asks again, here or elsewhere.
-                    let _ = within(&*clock, deadline, serve_snapshot(stream, &proxy)).await;
-                };
+                let serve = serve_instance(stream, Rc::clone(&proxy), Rc::clone(&clock));
                 compio::runtime::spawn(serve).detach();
             }
             Err(err) => {
@@ -125,39 +130,23 @@
     }
 }
 
-async fn serve_snapshot(stream: TcpStream, proxy: &Proxy) -> Result<(), PeerError> {
-    let mut link = TcpLink::new(stream);
-    let req: SnapshotRequest = read_message(&mut link).await?;
-    write_message(&mut link, &proxy.snapshot(req)).await
-}
-
-async fn write_message<T: Serialize>(link: &mut TcpLink, message: &T) -> Result<(), PeerError> {
-    let body = postcard::to_stdvec(message).map_err(no_answer)?;
-    let mut buf = BytesMut::with_capacity(LENGTH_BYTES + body.len());
-    buf.extend_from_slice(&(body.len() as u32).to_be_bytes());
-    buf.extend_from_slice(&body);
-    link.send(buf).await.map_err(no_answer)?;
-    Ok(())
-}
-
-async fn read_message<T: DeserializeOwned>(link: &mut TcpLink) -> Result<T, PeerError> {
-    let mut buf = BytesMut::new();
-    loop {
-        if let Some((length, rest)) = buf.split_first_chunk::<LENGTH_BYTES>() {
-            let length = u32::from_be_bytes(*length) as usize;
-            if length > SNAPSHOT_LIMIT {
-                return Err(no_answer("the message is too long"));
-            }
-            if let Some(body) = rest.get(..length) {
-                return postcard::from_bytes(body).map_err(no_answer);
-            }
+async fn serve_instance(stream: TcpStream, proxy: Rc<Proxy>, clock: Rc<dyn Clock>) {
+    let mut framed = Framed::new(TcpLink::new(stream));
+    let deadline = clock.now() + SERVE_WITHIN;
+    match within(&*clock, deadline, framed.read()).await {
+        Ok(Ok(Some(Hello::Snapshot(req)))) => {
+            let snapshot = proxy.snapshot(req);
+            // Whoever asked and hears nothing asks again, here or elsewhere.
+            let _ = within(&*clock, deadline, framed.write(&snapshot)).await;
+        }
+        Ok(Ok(Some(Hello::Session))) => {
+            serve_relayed_caller(proxy, Box::new(RelayedCaller { framed })).await;
         }
-        let before = buf.len();
-        buf.reserve(BEACON_LIMIT);
-        buf = link.recv(buf).await.map_err(no_answer)?;
-        if buf.len() == before {
-            return Err(no_answer("the connection ended"));
+        Ok(Ok(None)) => {}
+        Ok(Err(err)) => {
+            log::debug!(reason = err.to_string().as_str(); "G0748 an instance's greeting is unreadable");
         }
+        Err(_) => log::debug!("G0749 an instance connected and said nothing"),
     }
 }
 
--- a/crates/gullspar_net/src/lib.rs
+++ b/crates/gullspar_net/src/lib.rs
@@ -3,12 +3,14 @@
 
 mod closing_transport;
 mod datagram_peers;
+mod framed;
 mod http_platform;
 mod metrics_server;
 mod peer_codec;
 mod peer_server;
 mod peer_service;
 mod platform_types;
+mod relay_link;
 mod system_clock;
 mod system_entropy;
 mod tarpc_peers;
@@ -16,7 +18,7 @@
 mod tcp_link;
 mod timer_context;
 
-pub use datagram_peers::{DatagramPeers, receive_beacons, serve_snapshots};
+pub use datagram_peers::{DatagramPeers, receive_beacons, serve_instances};
 pub use http_platform::HttpPlatform;
 pub use metrics_server::serve_metrics;
 pub use peer_server::serve_peers;
--- a/crates/gullspar_statement/src/caller_link.rs
+++ b/crates/gullspar_statement/src/caller_link.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 
+use futures::FutureExt;
 use futures::future::LocalBoxFuture;
 use gullspar_model::{RequestId, ServiceName, record};
 use quick_error::quick_error;
@@ -51,4 +52,10 @@
 
     /// Whether nothing that the caller sent waits to be read.
     fn is_quiet(&self) -> bool;
+
+    /// Asks the other side to end the session, where it can be asked; `false` where it can't, and the
+    /// session is simply closed.
+    fn ask_to_end(&mut self) -> LocalBoxFuture<'_, Result<bool, CallerLinkError>> {
+        async { Ok(false) }.boxed_local()
+    }
 }
