Let many instances find each other, and few of them follow the store

Cause: an instance whose seeds were gone knew nobody and served as if alone; beacons named the same twelve addresses each time, so that instances disagreed about homes and a session was handed on to one that did not know it was a home (5.1 % refused); 66 instances made 4,305 calls to the store in 58 s.

--- a/crates/gullspar_border/src/boot_instant.rs
+++ b/crates/gullspar_border/src/boot_instant.rs
@@ -17,6 +17,11 @@
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
 
+    /// The instant `later` later.
+    pub fn plus(self, later: Duration) -> BootInstant {
+        BootInstant(self.0.saturating_add(later.as_micros() as u64))
+    }
+
     /// The instant `before` earlier.
     pub fn minus(self, before: Duration) -> BootInstant {
         BootInstant(self.0.saturating_sub(before.as_micros() as u64))
--- a/crates/gullspar_direct/src/beacon.rs
+++ b/crates/gullspar_direct/src/beacon.rs
@@ -45,7 +45,7 @@
         /// Whether the sender reached the platform's store lately.
         pub reaches_store: bool,
         pub views: Vec<GroupView>,
-        /// Addresses of instances that the sender heard lately.
+        /// Addresses of some instances that the sender heard lately, others each time.
         pub known: Vec<SocketAddr>,
     }
 }
--- a/crates/gullspar_direct/src/borders.rs
+++ b/crates/gullspar_direct/src/borders.rs
@@ -8,7 +8,7 @@
 use gullspar_border::{Clock, Entropy, PeerError};
 use gullspar_statement::TargetDialer;
 
-use crate::{Beacon, Claims, HomeLink, Promoter, Snapshot, SnapshotRequest, Stats};
+use crate::{Beacon, Claims, HomeLink, Promoter, Registry, Snapshot, SnapshotRequest, Stats};
 
 /// The ways to other instances.
 pub trait PeerChannel {
@@ -40,5 +40,6 @@
     pub claims: Rc<dyn Claims>,
     pub promoter: Rc<dyn Promoter>,
     pub peers: Rc<dyn PeerChannel>,
+    pub registry: Rc<dyn Registry>,
     pub stats: Rc<Stats>,
 }
--- a/crates/gullspar_direct/src/caller_session.rs
+++ b/crates/gullspar_direct/src/caller_session.rs
@@ -78,7 +78,12 @@
     let failure = match link.next().await? {
         Some(CallerMessage::Open { service }) => match proxy.directory.route(&service) {
             Some(route) => {
-                let homes = if may_hand_on { proxy.other_homes(&route.group) } else { None };
+                let homes = if may_hand_on {
+                    proxy.other_homes(&route.group)
+                } else {
+                    proxy.hold(&route.group);
+                    None
+                };
                 return match homes {
                     Some(homes) => hand_on(proxy, link, service, &homes).await,
                     None => serve_here(proxy, link, service).await,
--- a/crates/gullspar_direct/src/peer_table.rs
+++ b/crates/gullspar_direct/src/peer_table.rs
@@ -1,7 +1,7 @@
 //! The other instances, as far as they were heard.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -25,6 +25,12 @@
 /// an instance that was removed for good must not count for ever.
 const COUNTS_FOR: Duration = Duration::from_secs(15);
 
+/// How long an address is told news although nobody answers there.
+///
+/// Machines are replaced at other addresses; told for ever, the gone ones would take the turns of those
+/// that are there. A cut lasts seconds.
+const CONTACT_FOR: Duration = Duration::from_secs(60);
+
 /// An instance that takes work.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Member {
@@ -42,8 +48,9 @@
 #[derive(Default)]
 pub struct PeerTable {
     heard: RefCell<BTreeMap<InstanceId, Heard>>,
-    /// Addresses that were named somewhere, heard or not.
-    contacts: RefCell<BTreeSet<SocketAddr>>,
+    /// Addresses that were named somewhere, with the time until which they are told although they are
+    /// silent; `None` for those of the settings, which are told for ever.
+    contacts: RefCell<BTreeMap<SocketAddr, Option<BootInstant>>>,
     /// How much longer than a beacon's usual pause an instance may be silent, because all are too many to
     /// be told each time.
     slack: Cell<Duration>,
@@ -52,25 +59,40 @@
 impl PeerTable {
     /// A table that begins with some addresses to ask.
     pub fn new(seeds: impl IntoIterator<Item = SocketAddr>) -> PeerTable {
-        let contacts = RefCell::new(seeds.into_iter().collect());
+        let contacts = RefCell::new(seeds.into_iter().map(|it| (it, None)).collect());
         PeerTable { heard: RefCell::default(), contacts, slack: Cell::new(Duration::ZERO) }
     }
 
     /// Takes a beacon that arrived at `now`.
     pub fn take(&self, beacon: Beacon, now: BootInstant) {
-        self.contacts.borrow_mut().extend(beacon.known.iter().copied());
-        self.contacts.borrow_mut().insert(beacon.address);
+        beacon.known.iter().for_each(|it| self.add_contact(*it, now));
+        self.add_contact(beacon.address, now);
+        if let Some(Some(until)) = self.contacts.borrow_mut().get_mut(&beacon.address) {
+            *until = now.plus(CONTACT_FOR);
+        }
         self.heard.borrow_mut().insert(beacon.from.clone(), Heard { beacon, at: now });
     }
 
-    /// Forgets instances that have been silent for so long that they count no more.
+    /// Adds an address where an instance may be.
+    pub fn add_contact(&self, address: SocketAddr, now: BootInstant) {
+        let until = Some(now.plus(CONTACT_FOR));
+        self.contacts.borrow_mut().entry(address).or_insert(until);
+    }
+
+    /// Whether any instance alive reaches the platform's store.
+    pub fn others_reach_store(&self, now: BootInstant) -> bool {
+        !self.select(now, self.alive_for(), |it| it.reaches_store.then_some(())).is_empty()
+    }
+
+    /// Forgets instances and addresses that have been silent for so long that they count no more.
     pub fn forget_silent(&self, now: BootInstant) {
+        self.contacts.borrow_mut().retain(|_, until| until.is_none_or(|it| now < it));
         self.heard.borrow_mut().retain(|_, it| now.since(it.at) < COUNTS_FOR);
     }
 
     /// Where to send beacons.
     pub fn contacts(&self, own: SocketAddr) -> Vec<SocketAddr> {
-        self.contacts.borrow().iter().copied().filter(|it| *it != own).collect()
+        self.contacts.borrow().keys().copied().filter(|it| *it != own).collect()
     }
 
     /// Addresses of the instances that are alive.
--- a/crates/gullspar_direct/src/proxy.rs
+++ b/crates/gullspar_direct/src/proxy.rs
@@ -50,6 +50,21 @@
 /// two refusals.
 pub const ROTATION: Duration = Duration::from_millis(2200);
 
+/// How long a group is served for a session that was handed on to an instance that is not its home.
+const HOLD_FOR: Duration = Duration::from_secs(10);
+
+/// Instances up to which all follow the store: more than today's 7 to 13.
+const ALL_FOLLOW_UP_TO: usize = 16;
+
+/// Instances of a data centre that follow the store for the others.
+const FOLLOWERS: usize = 2;
+
+/// What the followers of the store are ranked by.
+const STORE_RANK: &str = "gullspar store";
+
+/// How long an instance hears nobody before it looks others up.
+const LONELY_AFTER: Duration = Duration::from_millis(1500);
+
 /// How long a group that other instances are homes of now is kept for the sessions that are open.
 const GIVE_UP_AFTER: Duration = Duration::from_secs(4);
 
@@ -75,6 +90,8 @@
     pub peers: Rc<PeerTable>,
     pub shutdown: Rc<Shutdown>,
     groups: RefCell<BTreeMap<GroupName, Rc<Group>>>,
+    /// Groups that are served here for sessions that were handed on, and until when.
+    held: RefCell<BTreeMap<GroupName, Instant>>,
     store_heard: RefCell<Option<BootInstant>>,
     started: Instant,
 }
@@ -90,6 +107,7 @@
             peers: Rc::new(PeerTable::new(seeds)),
             shutdown: Rc::default(),
             groups: RefCell::default(),
+            held: RefCell::default(),
             store_heard: RefCell::new(None),
             started,
         })
@@ -100,6 +118,7 @@
         compio::runtime::spawn(Rc::clone(&self).send_beacons()).detach();
         compio::runtime::spawn(Rc::clone(&self).follow_peers()).detach();
         compio::runtime::spawn(Rc::clone(&self).judge_itself()).detach();
+        compio::runtime::spawn(Rc::clone(&self).find_others()).detach();
         loop {
             let changed = self.directory.listen();
             let now = self.borders.clock.now();
@@ -112,6 +131,55 @@
         }
     }
 
+    /// Whether this instance follows the platform's store itself.
+    ///
+    /// A few instances all do. Of many, two in each data centre do, and the others hear of changes from
+    /// them, since each call to the store is paid for; if nobody alive reaches the store, all try.
+    pub fn follows_store(&self) -> bool {
+        let members = self.members();
+        if members.len() <= ALL_FOLLOW_UP_TO {
+            return true;
+        }
+        let now = self.borders.clock.boot_now();
+        if !self.reaches_store() && !self.peers.others_reach_store(now) {
+            return true;
+        }
+        let mut near: Vec<&Member> =
+            members.iter().filter(|it| it.data_centre == self.own.data_centre).collect();
+        near.sort_by_key(|it| homes::weight(&STORE_RANK.into(), &it.id));
+        near.iter().take(FOLLOWERS).any(|it| it.id == self.own.id)
+    }
+
+    /// Enters this instance into the registry, and looks others up there while it hears nobody.
+    async fn find_others(self: Rc<Self>) {
+        let clock = Rc::clone(&self.borders.clock);
+        let registry = Rc::clone(&self.borders.registry);
+        let mut entered = false;
+        loop {
+            if !entered {
+                match registry.enter(&self.own.id, self.own.address).await {
+                    Ok(()) => entered = true,
+                    Err(err) => {
+                        log::info!(reason = err.to_string().as_str(); "G0751 this instance could not be registered");
+                    }
+                }
+            }
+            clock.sleep_until(clock.now() + LONELY_AFTER).await;
+            if self.members().len() > 1 {
+                continue;
+            }
+            match registry.addresses().await {
+                Ok(addresses) => {
+                    let now = clock.boot_now();
+                    addresses.iter().for_each(|it| self.peers.add_contact(*it, now));
+                }
+                Err(err) => {
+                    log::info!(reason = err.to_string().as_str(); "G0752 other instances could not be looked up");
+                }
+            }
+        }
+    }
+
     /// Whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
         self.directory.is_usable()
@@ -242,7 +310,27 @@
         members
     }
 
+    /// Serves `group` here for a while, whoever its homes are.
+    ///
+    /// Instances learn of each other at different moments. One that takes this instance for a home hands
+    /// on a session before this one knows that it is; refused, its callers would find no one.
+    pub(crate) fn hold(&self, group: &GroupName) {
+        let until = self.borders.clock.now() + HOLD_FOR;
+        self.held.borrow_mut().insert(group.clone(), until);
+        if self.group(group).is_none() {
+            self.tend_groups();
+        }
+    }
+
+    fn is_held(&self, group: &GroupName) -> bool {
+        let now = self.borders.clock.now();
+        self.held.borrow().get(group).is_some_and(|until| now < *until)
+    }
+
     fn is_home(&self, group: &GroupName, limits: GroupLimits, members: &[Member]) -> bool {
+        if self.is_held(group) {
+            return true;
+        }
         let homes = homes::homes(group, limits, &self.own.data_centre, members);
         homes.is_none_or(|it| it.iter().any(|it| it.id == self.own.id))
     }
@@ -364,7 +452,12 @@
         let views =
             self.groups().iter().map(|it| it.view(now, boot_now, self.started + SETTLE)).collect();
         let mut known = self.peers.alive_addresses(boot_now);
-        known.truncate(BEACON_KNOWN);
+        if !known.is_empty() {
+            // By turns, so that everybody hears of everybody.
+            let turn = self.borders.entropy.next_u64() as usize % known.len();
+            known.rotate_left(turn);
+            known.truncate(BEACON_KNOWN);
+        }
         Beacon {
             from: self.own.id.clone(),
             address: self.own.address,
--- a/crates/gullspar_direct/tests/knowledge.rs
+++ b/crates/gullspar_direct/tests/knowledge.rs
@@ -176,3 +176,19 @@
         assert_eq!(other.directory.target_revision(), 1);
     });
 }
+
+/// Symptom: one instance of many serves as if it were alone, and refuses a fifth of its callers.
+/// Events: all instances that its settings name are gone; nobody knows of it, and it of nobody.
+/// Cause: instances found each other by their settings alone.
+#[test]
+fn an_instance_whose_seeds_are_gone_finds_the_others() {
+    run(async {
+        let world = World::new();
+        let one = world.instance(1);
+        let lost = world.instance_with_seed(7, 99);
+        let known = |of: &std::rc::Rc<gullspar_direct::Proxy>| {
+            of.peers.members(world.clock.boot_now()).len()
+        };
+        until(4000, "they know each other", || known(&lost) == 1 && known(&one) == 1).await;
+    });
+}
--- a/crates/gullspar_direct/tests/support/mod.rs
+++ b/crates/gullspar_direct/tests/support/mod.rs
@@ -8,6 +8,7 @@
 mod fake_group;
 mod fake_peers;
 mod fake_promoter;
+mod fake_registry;
 mod fake_relay;
 
 use std::future::Future;
@@ -28,6 +29,7 @@
 pub use fake_group::{FakeGroup, Fault};
 pub use fake_peers::FakeNetwork;
 pub use fake_promoter::FakePromoter;
+pub use fake_registry::FakeRegistry;
 
 pub const GROUP: &str = "group-1";
 
@@ -54,6 +56,7 @@
     pub claims: Rc<FakeClaims>,
     pub promoter: Rc<FakePromoter>,
     pub network: Rc<FakeNetwork>,
+    pub registry: Rc<FakeRegistry>,
     pub clock: Rc<dyn Clock>,
 }
 
@@ -84,12 +87,18 @@
             group,
             claims: Rc::default(),
             network: Rc::default(),
+            registry: Rc::default(),
             clock: Rc::new(SystemClock),
         }
     }
 
     /// An instance that knows the configuration and all targets.
     pub fn instance(&self, number: u16) -> Rc<Proxy> {
+        self.instance_with_seed(number, 1)
+    }
+
+    /// An instance that is told of the instance `seed` only.
+    pub fn instance_with_seed(&self, number: u16, seed: u16) -> Rc<Proxy> {
         let address = SocketAddr::from(([127, 0, 0, 1], number));
         let borders = Borders {
             clock: Rc::clone(&self.clock),
@@ -98,6 +107,7 @@
             claims: Rc::clone(&self.claims) as _,
             promoter: Rc::clone(&self.promoter) as _,
             peers: self.network.channel(address),
+            registry: Rc::clone(&self.registry) as _,
             stats: Rc::new(Stats::new(&opentelemetry::global::meter("test"))),
         };
         let own = Identity {
@@ -106,7 +116,7 @@
             address,
             claim_lease: LEASE,
         };
-        let proxy = Proxy::new(own, vec![SocketAddr::from(([127, 0, 0, 1], 1))], borders);
+        let proxy = Proxy::new(own, vec![SocketAddr::from(([127, 0, 0, 1], seed))], borders);
         self.network.join(address, Rc::clone(&proxy));
         proxy.directory.apply_catalogue(catalogue(1));
         self.list_targets(&proxy, 1);
