A fault soak of our own with real processes

Instances as processes, stand-ins of the platform beside them, faults from outside drawn from a seed, and a check of what eight callers were told against what the targets hold.

--- /dev/null
+++ b/crates/gullspar/tests/soak.rs
@@ -0,0 +1,26 @@
+//! Short seeded runs of the fault soak with the real program.
+
+#![allow(clippy::unwrap_used, reason = "a test that can't go on must fail")]
+
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use gullspar_soak::{SoakPlan, soak};
+use test_case::test_case;
+
+/// Runs one seed and fails on any broken promise, or if nothing is served afterwards.
+#[test_case(1; "a seed without a finding")]
+fn seeds_break_no_promise(seed: u64) {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
+    let plan = SoakPlan {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_gullspar")),
+        folder,
+        seed,
+        instances: 3,
+        faults_for: Duration::from_secs(6),
+    };
+    let runtime = compio::runtime::Runtime::new().unwrap();
+    let report = runtime.block_on(soak(&plan)).unwrap();
+    assert_eq!(report.breaches, [], "{report:#?}");
+    assert!(report.done_after > 0, "nothing is served after the faults: {report:#?}");
+}
--- a/crates/gullsparctl/src/command_line.rs
+++ b/crates/gullsparctl/src/command_line.rs
@@ -48,6 +48,7 @@
         )
         .subcommand(report(address, json))
         .subcommand(lab())
+        .subcommand(soak())
 }
 
 fn report(address: Arg, json: Arg) -> Command {
@@ -106,3 +107,22 @@
                 .arg(Arg::new("command").value_name("COMMAND").required(true)),
         )
 }
+
+fn soak() -> Command {
+    let number = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name).long(name).help(help).default_value(default).value_parser(value_parser!(u64))
+    };
+    let path = |name: &'static str, help: &'static str| {
+        Arg::new(name).long(name).help(help).required(true).value_parser(value_parser!(PathBuf))
+    };
+    Command::new("soak")
+        .about(
+            "Runs real instances under faults drawn from a seed, and checks what callers are told",
+        )
+        .arg(path("program", "The program `gullspar`"))
+        .arg(path("folder", "Where settings and logs of each seed are written"))
+        .arg(number("seed", "1", "The first seed"))
+        .arg(number("count", "1", "How many seeds"))
+        .arg(number("instances", "3", "Instances in each run"))
+        .arg(number("seconds", "10", "Seconds in which faults come"))
+}
--- /dev/null
+++ b/crates/gullsparctl/src/soak_command.rs
@@ -0,0 +1,57 @@
+//! The fault soak from the command line.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::ArgMatches;
+use gullspar_soak::{Report, SoakPlan, soak};
+
+use crate::client::CommandError;
+
+/// Runs seeds one after the other; fails if any breaks a promise or does not recover.
+pub(crate) fn run(args: &ArgMatches) -> Result<(), CommandError> {
+    let number = |name: &str| args.get_one::<u64>(name).copied().unwrap_or_default();
+    let path = |name: &str| args.get_one::<PathBuf>(name).cloned().unwrap_or_default();
+    let mut failed = Vec::new();
+    for seed in number("seed")..number("seed") + number("count") {
+        let plan = SoakPlan {
+            program: path("program"),
+            folder: path("folder").join(format!("seed-{seed}")),
+            seed,
+            instances: number("instances") as usize,
+            faults_for: Duration::from_secs(number("seconds")),
+        };
+        let runtime =
+            compio::runtime::Runtime::new().map_err(|err| CommandError::Text(err.to_string()))?;
+        let report =
+            runtime.block_on(soak(&plan)).map_err(|err| CommandError::Text(err.to_string()))?;
+        if !tell(&report) {
+            failed.push(seed.to_string());
+        }
+    }
+    if failed.is_empty() {
+        return Ok(());
+    }
+    Err(CommandError::Text(format!("seeds that failed: {}", failed.join(", "))))
+}
+
+/// Prints one line, and the faults and breaches of a seed that failed; `true` if it passed.
+fn tell(report: &Report) -> bool {
+    let passed = report.breaches.is_empty() && report.done_after > 0;
+    println!(
+        "seed {}: {}; {} faults, {} written, {} not kept, {} unknown, {} reads, {} written afterwards",
+        report.seed,
+        if passed { "passed" } else { "FAILED" },
+        report.faults.len(),
+        report.done,
+        report.not_kept,
+        report.unknown,
+        report.reads,
+        report.done_after,
+    );
+    if !passed {
+        report.faults.iter().for_each(|it| println!("  {it}"));
+        report.breaches.iter().for_each(|it| println!("  broken: {}: {}", it.promise, it.text));
+    }
+    passed
+}
