--- a/crates/gullspar/tests/soak.rs
+++ b/crates/gullspar/tests/soak.rs
@@ -9,7 +9,11 @@
 use test_case::test_case;
 
 /// Runs one seed and fails on any broken promise, or if nothing is served afterwards.
+///
+/// Seed 101 failed once: a caller of the soak went on after a refused BEGIN, so that its writes ran alone
+/// and were counted as a transaction that is not kept.
 #[test_case(1; "a seed without a finding")]
+#[test_case(101; "a BEGIN that is refused while the instances start")]
 fn seeds_break_no_promise(seed: u64) {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
     let plan = SoakPlan {
--- /dev/null
+++ b/crates/gullspar_direct/src/caller_opening.rs
@@ -0,0 +1,77 @@
+//! The opening of a caller's session: which service it wants, and which instance serves it.
+
+use std::rc::Rc;
+
+use gullspar_model::{NotRun, ServiceName};
+use gullspar_statement::{
+    Answer, CallerLink, CallerLinkError, CallerMessage, Failure, FailureCode, TransactionStatus,
+};
+
+use crate::caller_session::{Session, no_such_service};
+use crate::relay::{self, Relay};
+use crate::{Member, Proxy, refusal};
+
+/// Serves one caller until it leaves or the instance ends.
+pub async fn serve_caller(proxy: Rc<Proxy>, link: Box<dyn CallerLink>) {
+    serve(proxy, link, true).await;
+}
+
+/// Serves a caller that another instance has handed on, here and nowhere else.
+pub async fn serve_relayed_caller(proxy: Rc<Proxy>, link: Box<dyn CallerLink>) {
+    serve(proxy, link, false).await;
+}
+
+async fn serve(proxy: Rc<Proxy>, link: Box<dyn CallerLink>, may_hand_on: bool) {
+    proxy.shutdown.session_opened();
+    if let Err(err) = open(&proxy, link, may_hand_on).await {
+        log::debug!(reason = err.to_string().as_str(); "G0728 a caller's session broke off");
+    }
+    proxy.shutdown.session_closed();
+}
+
+/// Reads which service the caller wants, and serves it here or hands it on.
+async fn open(
+    proxy: &Rc<Proxy>,
+    mut link: Box<dyn CallerLink>,
+    may_hand_on: bool,
+) -> Result<(), CallerLinkError> {
+    let failure = match link.next().await? {
+        Some(CallerMessage::Open { service }) => match proxy.directory.route(&service) {
+            Some(route) => {
+                let homes = if may_hand_on {
+                    proxy.other_homes(&route.group)
+                } else {
+                    proxy.hold(&route.group);
+                    None
+                };
+                return match homes {
+                    Some(homes) => hand_on(proxy, link, service, &homes).await,
+                    None => Session::serve_to_end(proxy, link, service).await,
+                };
+            }
+            None if proxy.directory.catalogue().is_some() => {
+                log::info!(service = service.as_str(), version = proxy.directory.version(); "G0730 a caller asked for a service that is not there");
+                no_such_service(&service)
+            }
+            None => refusal::not_run(NotRun::Unreachable),
+        },
+        Some(_) => Failure::new(FailureCode::Malformed, "a session begins by opening a service"),
+        None => {
+            log::debug!("G0729 a caller did not open a session");
+            return Ok(());
+        }
+    };
+    link.reply(&Answer::failed(failure, TransactionStatus::Idle)).await
+}
+
+async fn hand_on(
+    proxy: &Rc<Proxy>,
+    mut link: Box<dyn CallerLink>,
+    service: ServiceName,
+    homes: &[Member],
+) -> Result<(), CallerLinkError> {
+    let Some(home) = relay::open(proxy, homes).await else {
+        return link.reply(&relay::no_home()).await;
+    };
+    Relay::new(Rc::clone(proxy), link, home).run(CallerMessage::Open { service }).await
+}
--- a/crates/gullspar_direct/src/caller_session.rs
+++ b/crates/gullspar_direct/src/caller_session.rs
@@ -12,11 +12,10 @@
 
 use crate::confirmation::Standing;
 use crate::group::Group;
-use crate::relay::{self, Relay};
 use crate::request::{Body, Request};
 use crate::trace::Trace;
 use crate::transaction::Transaction;
-use crate::{Member, Phase, Proxy, Route, SessionValues, refusal};
+use crate::{Phase, Proxy, Route, SessionValues, refusal};
 
 /// A read may be silent for this part of the callers' objective before a second target is asked.
 const PATIENCE_DIVISOR: u64 = 2;
@@ -24,7 +23,8 @@
 /// The least patience, so that a short objective does not double the load: several times the usual work.
 const LEAST_PATIENCE: Duration = Duration::from_millis(60);
 
-struct Session {
+/// A session that is served here.
+pub(crate) struct Session {
     proxy: Rc<Proxy>,
     link: Box<dyn CallerLink>,
     service: ServiceName,
@@ -51,103 +51,39 @@
     Shutdown,
 }
 
-/// Serves one caller until it leaves or the instance ends.
-pub async fn serve_caller(proxy: Rc<Proxy>, link: Box<dyn CallerLink>) {
-    serve(proxy, link, true).await;
-}
-
-/// Serves a caller that another instance has handed on, here and nowhere else.
-pub async fn serve_relayed_caller(proxy: Rc<Proxy>, link: Box<dyn CallerLink>) {
-    serve(proxy, link, false).await;
-}
-
-async fn serve(proxy: Rc<Proxy>, link: Box<dyn CallerLink>, may_hand_on: bool) {
-    proxy.shutdown.session_opened();
-    if let Err(err) = open(&proxy, link, may_hand_on).await {
-        log::debug!(reason = err.to_string().as_str(); "G0728 a caller's session broke off");
-    }
-    proxy.shutdown.session_closed();
+pub(crate) fn no_such_service(service: &ServiceName) -> Failure {
+    Failure::new(FailureCode::NoSuchService, format!("there is no service {service}"))
 }
 
-/// Reads which service the caller wants, and serves it here or hands it on.
-async fn open(
-    proxy: &Rc<Proxy>,
-    mut link: Box<dyn CallerLink>,
-    may_hand_on: bool,
-) -> Result<(), CallerLinkError> {
-    let failure = match link.next().await? {
-        Some(CallerMessage::Open { service }) => match proxy.directory.route(&service) {
-            Some(route) => {
-                let homes = if may_hand_on {
-                    proxy.other_homes(&route.group)
-                } else {
-                    proxy.hold(&route.group);
-                    None
-                };
-                return match homes {
-                    Some(homes) => hand_on(proxy, link, service, &homes).await,
-                    None => serve_here(proxy, link, service).await,
-                };
-            }
-            None if proxy.directory.catalogue().is_some() => {
-                log::info!(service = service.as_str(), version = proxy.directory.version(); "G0730 a caller asked for a service that is not there");
-                no_such_service(&service)
-            }
-            None => refusal::not_run(NotRun::Unreachable),
-        },
-        Some(_) => Failure::new(FailureCode::Malformed, "a session begins by opening a service"),
-        None => {
-            log::debug!("G0729 a caller did not open a session");
-            return Ok(());
+impl Session {
+    /// Serves a caller that has named its service, until it leaves or the instance ends.
+    pub(crate) async fn serve_to_end(
+        proxy: &Rc<Proxy>,
+        mut link: Box<dyn CallerLink>,
+        service: ServiceName,
+    ) -> Result<(), CallerLinkError> {
+        link.reply(&Answer::done_locally(TransactionStatus::Idle)).await?;
+        let mut session = Session {
+            proxy: Rc::clone(proxy),
+            link,
+            service,
+            values: SessionValues::default(),
+            own_commit: None,
+            transaction: None,
+            route: None,
+            idle_deadline: None,
+            trace: Trace::default(),
+            ran: None,
+            asked_to_end: false,
+        };
+        let served = session.serve().await;
+        if let Err(err) = &served {
+            session.explain(err).await;
         }
-    };
-    link.reply(&Answer::failed(failure, TransactionStatus::Idle)).await
-}
-
-async fn hand_on(
-    proxy: &Rc<Proxy>,
-    mut link: Box<dyn CallerLink>,
-    service: ServiceName,
-    homes: &[Member],
-) -> Result<(), CallerLinkError> {
-    let Some(home) = relay::open(proxy, homes).await else {
-        return link.reply(&relay::no_home()).await;
-    };
-    Relay::new(Rc::clone(proxy), link, home).run(CallerMessage::Open { service }).await
-}
-
-async fn serve_here(
-    proxy: &Rc<Proxy>,
-    mut link: Box<dyn CallerLink>,
-    service: ServiceName,
-) -> Result<(), CallerLinkError> {
-    link.reply(&Answer::done_locally(TransactionStatus::Idle)).await?;
-    let mut session = Session {
-        proxy: Rc::clone(proxy),
-        link,
-        service,
-        values: SessionValues::default(),
-        own_commit: None,
-        transaction: None,
-        route: None,
-        idle_deadline: None,
-        trace: Trace::default(),
-        ran: None,
-        asked_to_end: false,
-    };
-    let served = session.serve().await;
-    if let Err(err) = &served {
-        session.explain(err).await;
+        session.abandon();
+        served
     }
-    session.abandon();
-    served
-}
 
-fn no_such_service(service: &ServiceName) -> Failure {
-    Failure::new(FailureCode::NoSuchService, format!("there is no service {service}"))
-}
-
-impl Session {
     async fn serve(&mut self) -> Result<(), CallerLinkError> {
         loop {
             match self.next_event().await? {
--- /dev/null
+++ b/crates/gullspar_direct/src/cut_off.rs
@@ -0,0 +1,56 @@
+//! Judging whether callers are better served by other instances.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::group::Group;
+use crate::{CutOff, Proxy, ROTATION};
+
+/// Between two looks at whether this instance is cut off.
+const JUDGE_EVERY: Duration = Duration::from_millis(50);
+
+impl Proxy {
+    /// Whether waiting for a leader of `group` that this instance can use is in vain: the others use it, or
+    /// this instance is cut off from them. Refused at once, a caller's next try reaches another instance.
+    pub(crate) fn is_hopeless(&self, group: &Group) -> bool {
+        if group.working_leader().is_some() {
+            return false;
+        }
+        let now = self.borders.clock.boot_now();
+        let led = group
+            .leader()
+            .is_some_and(|it| self.peers.others_see_lead(&group.name, &it.member, now));
+        led || self.peers.is_isolated(now)
+    }
+
+    /// Whether this instance is cut off from the other instances and from the leaders of half of the
+    /// groups or more, so that callers are better served elsewhere.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        if !self.peers.is_isolated(self.borders.clock.boot_now()) {
+            return false;
+        }
+        let groups = self.groups();
+        let lost = groups.iter().filter(|it| it.working_leader().is_none()).count();
+        lost > 0 && 2 * lost >= groups.len()
+    }
+
+    /// Sends callers away while this instance is cut off.
+    pub(crate) async fn judge_itself(self: Rc<Self>) {
+        let clock = Rc::clone(&self.borders.clock);
+        let mut cut_off_since = None;
+        loop {
+            if self.is_cut_off() {
+                let since = *cut_off_since.get_or_insert_with(|| {
+                    log::warn!("G0741 this instance is cut off; callers are sent elsewhere");
+                    clock.now()
+                });
+                let out = clock.now() >= since + ROTATION;
+                self.shutdown.set_cut_off(if out { CutOff::OutOfRotation } else { CutOff::Yes });
+            } else if cut_off_since.take().is_some() {
+                log::info!("G0742 this instance is no longer cut off");
+                self.shutdown.set_cut_off(CutOff::No);
+            }
+            clock.sleep_until(clock.now() + JUDGE_EVERY).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gullspar_direct/src/home_groups.rs
@@ -0,0 +1,179 @@
+//! The groups that this instance serves, their targets and its share of them.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use gullspar_model::GroupName;
+use gullspar_statement::TargetSpec;
+
+use crate::admission_limit::{connection_share, statements_at_once};
+use crate::failover;
+use crate::group::Group;
+use crate::homes;
+use crate::proxy::SETTLE;
+use crate::stats::Levels;
+use crate::target::Target;
+use crate::target_watch;
+use crate::{CutOff, GroupLimits, Member, Proxy};
+
+/// How long a group is served for a session that was handed on to an instance that is not its home.
+const HOLD_FOR: Duration = Duration::from_secs(10);
+
+/// How long a group that other instances are homes of now is kept for the sessions that are open.
+const GIVE_UP_AFTER: Duration = Duration::from_secs(4);
+
+impl Proxy {
+    /// Brings groups, targets and their capacities in line with the directory and the other instances.
+    pub(crate) fn tend_groups(&self) {
+        let now = self.borders.clock.now();
+        let targets = self.directory.targets();
+        let catalogue = self.directory.catalogue();
+        let members = self.members();
+        for group in self.groups() {
+            for target in group.targets() {
+                let member = target.member();
+                if !targets.iter().any(|it| it.member == member && it.group == group.name) {
+                    group.remove(&member);
+                }
+            }
+        }
+        for spec in targets {
+            let limits = catalogue.as_ref().and_then(|it| it.groups.get(&spec.group).copied());
+            if limits.is_none_or(|it| self.is_home(&spec.group, it, &members)) {
+                let holders = limits.map_or(1, |it| homes::holders(&spec.group, it, &members));
+                self.tend_target(spec, limits, holders);
+            }
+        }
+        self.give_up_groups(&members, now);
+    }
+
+    pub(crate) fn tend_target(
+        &self,
+        spec: Rc<TargetSpec>,
+        limits: Option<GroupLimits>,
+        holders: usize,
+    ) {
+        let group = self.group_or_new(&spec.group);
+        let target = group.target(&spec.member).unwrap_or_else(|| self.new_target(&group, &spec));
+        target.admission.set_capacity(statements_at_once(spec.slots, holders));
+        if let Some(limits) = limits {
+            target.pool.set_share(connection_share(limits, holders));
+        }
+        if *target.spec() != *spec {
+            if spec.leaving && !target.spec().leaving {
+                log::info!(member = spec.member.as_str(), group = spec.group.as_str(); "G0713 a target is leaving");
+            }
+            target.set_spec(spec);
+            group.notify();
+        }
+    }
+
+    pub(crate) fn new_target(&self, group: &Rc<Group>, spec: &Rc<TargetSpec>) -> Rc<Target> {
+        let target = Target::new(Rc::clone(spec), &self.borders);
+        group.add(Rc::clone(&target));
+        let watch = target_watch::watch(self.borders.clone(), Rc::clone(group), Rc::clone(&target));
+        compio::runtime::spawn(watch).detach();
+        target
+    }
+
+    /// Serves `group` here for a while, whoever its homes are.
+    ///
+    /// Instances learn of each other at different moments. One that takes this instance for a home hands
+    /// on a session before this one knows that it is; refused, its callers would find no one.
+    pub(crate) fn hold(&self, group: &GroupName) {
+        let until = self.borders.clock.now() + HOLD_FOR;
+        self.held.borrow_mut().insert(group.clone(), until);
+        if self.group(group).is_none() {
+            self.tend_groups();
+        }
+    }
+
+    pub(crate) fn is_held(&self, group: &GroupName) -> bool {
+        let now = self.borders.clock.now();
+        self.held.borrow().get(group).is_some_and(|until| now < *until)
+    }
+
+    pub(crate) fn is_home(
+        &self,
+        group: &GroupName,
+        limits: GroupLimits,
+        members: &[Member],
+    ) -> bool {
+        if self.is_held(group) {
+            return true;
+        }
+        let homes = homes::homes(group, limits, &self.own.data_centre, members);
+        homes.is_none_or(|it| it.iter().any(|it| it.id == self.own.id))
+    }
+
+    /// The instances to hand a session of `group` on to, best first; `None` if it is served here.
+    pub(crate) fn other_homes(&self, group: &GroupName) -> Option<Vec<Member>> {
+        let limits = self.directory.catalogue()?.groups.get(group).copied()?;
+        let mut homes = homes::homes(group, limits, &self.own.data_centre, &self.members())?;
+        if homes.iter().any(|it| it.id == self.own.id) {
+            return None;
+        }
+        // Each session takes its own turn, so that the homes share the work.
+        let turn = self.borders.entropy.next_u64() as usize % homes.len().max(1);
+        homes.rotate_left(turn);
+        Some(homes)
+    }
+
+    /// Whether this instance is no longer a home of `group` and keeps it only for sessions that are open.
+    pub(crate) fn gives_up(&self, group: &GroupName) -> bool {
+        self.group(group).is_some_and(|it| it.given_up_at().is_some())
+    }
+
+    /// Gives up groups that other instances are homes of now, once their sessions had time to leave.
+    pub(crate) fn give_up_groups(&self, members: &[Member], now: Instant) {
+        let Some(catalogue) = self.directory.catalogue() else { return };
+        for group in self.groups() {
+            let limits = catalogue.groups.get(&group.name).copied();
+            let home = limits.is_none_or(|it| self.is_home(&group.name, it, members));
+            match (home, group.given_up_at()) {
+                (true, _) => group.set_given_up_at(None),
+                (false, None) => {
+                    log::info!(group = group.name.as_str(); "G0750 other instances are the homes of a group now");
+                    group.set_given_up_at(Some(now + GIVE_UP_AFTER));
+                    self.shutdown.notify();
+                }
+                (false, Some(at)) if now >= at => {
+                    group.targets().iter().for_each(|it| group.remove(&it.member()));
+                    self.groups.borrow_mut().remove(&group.name);
+                    group.end();
+                }
+                (false, Some(_)) => {}
+            }
+        }
+    }
+
+    pub(crate) fn group_or_new(&self, name: &GroupName) -> Rc<Group> {
+        if let Some(group) = self.group(name) {
+            return group;
+        }
+        let group = Group::new(name.clone(), self.borders.clock.now(), self.own.claim_lease);
+        self.groups.borrow_mut().insert(name.clone(), Rc::clone(&group));
+        let keeper = failover::Keeper {
+            borders: self.borders.clone(),
+            own: self.own.id.clone(),
+            peers: Rc::clone(&self.peers),
+            group: Rc::clone(&group),
+            shutdown: Rc::clone(&self.shutdown),
+            settle_until: self.started + SETTLE,
+        };
+        compio::runtime::spawn(keeper.run()).detach();
+        group
+    }
+
+    pub(crate) fn levels(&self) -> Levels {
+        let groups = self.groups();
+        let leaderless = groups.iter().filter(|it| it.working_leader().is_none()).count();
+        Levels {
+            sessions: self.shutdown.sessions() as u64,
+            configuration: self.directory.version(),
+            cut_off: self.shutdown.cut_off() != CutOff::No,
+            leaderless: leaderless as u64,
+            instances: 1 + self.peers.alive(self.borders.clock.boot_now()).len() as u64,
+        }
+    }
+}
--- a/crates/gullspar_direct/tests/statements.rs
+++ b/crates/gullspar_direct/tests/statements.rs
@@ -4,17 +4,25 @@
 
 mod support;
 
-use gullspar_direct::Phase;
+use std::rc::Rc;
+
+use gullspar_direct::{Phase, Proxy};
 use gullspar_statement::FailureCode;
 use support::{BOUNDED, Fault, LATEST, OWN, World, pause, run, until};
 
+/// A world with one instance that knows its leader.
+async fn settled() -> (World, Rc<Proxy>) {
+    let world = World::new();
+    let proxy = world.instance(1);
+    world.settle(&proxy).await;
+    (world, proxy)
+}
+
 /// A read that may be old runs on a replica, and one that may not runs on the leader.
 #[test]
 fn reads_go_where_their_freshness_lets_them() {
     run(async {
-        let world = World::new();
-        let proxy = world.instance(1);
-        world.settle(&proxy).await;
+        let (world, proxy) = settled().await;
         world.caller(&proxy, BOUNDED).await.done("READ a").await;
         world.caller(&proxy, LATEST).await.done("READ b").await;
         let ran = world.group.ran();
@@ -29,9 +37,7 @@
 #[test]
 fn a_session_sees_its_own_writes_although_replicas_hear_nothing() {
     run(async {
-        let world = World::new();
-        let proxy = world.instance(1);
-        world.settle(&proxy).await;
+        let (world, proxy) = settled().await;
         world.group.set(1, Fault::Deaf);
         world.group.set(2, Fault::Deaf);
         let caller = world.caller(&proxy, OWN).await;
@@ -48,9 +54,7 @@
 #[test]
 fn a_read_is_never_older_than_its_class_allows() {
     run(async {
-        let world = World::new();
-        let proxy = world.instance(1);
-        world.settle(&proxy).await;
+        let (world, proxy) = settled().await;
         world.group.set(1, Fault::Deaf);
         world.group.set(2, Fault::Deaf);
         let writer = world.caller(&proxy, LATEST).await;
@@ -67,9 +71,7 @@
 #[test]
 fn a_superseded_leader_is_not_read_from() {
     run(async {
-        let world = World::new();
-        let proxy = world.instance(1);
-        world.settle(&proxy).await;
+        let (world, proxy) = settled().await;
         let caller = world.caller(&proxy, LATEST).await;
         caller.done("READ a").await;
         world.group.promote(&"m1".into());
@@ -84,9 +86,7 @@
 #[test]
 fn a_read_whose_answer_is_lost_is_served_by_another_target() {
     run(async {
-        let world = World::new();
-        let proxy = world.instance(1);
-        world.settle(&proxy).await;
+        let (world, proxy) = settled().await;
         world.group.set(1, Fault::LosesAnswers);
         world.group.set(2, Fault::LosesAnswers);
         let caller = world.caller(&proxy, BOUNDED).await;
@@ -102,9 +102,7 @@
 #[test]
 fn a_write_whose_answer_is_lost_is_unknown_and_not_repeated() {
     run(async {
-        let world = World::new();
-        let proxy = world.instance(1);
-        world.settle(&proxy).await;
+        let (world, proxy) = settled().await;
         world.group.set(0, Fault::Resets);
         let caller = world.caller(&proxy, LATEST).await;
         assert_eq!(caller.refused("WRITE slot mine").await, FailureCode::Unknown);
@@ -116,9 +114,7 @@
 #[test]
 fn a_write_waits_out_a_busy_leader() {
     run(async {
-        let world = World::new();
-        let proxy = world.instance(1);
-        world.settle(&proxy).await;
+        let (world, proxy) = settled().await;
         world.group.set(0, Fault::Busy);
         let caller = world.caller(&proxy, LATEST).await;
         caller.begin_to_say("WRITE slot mine");
@@ -135,9 +131,7 @@
 #[test]
 fn a_lost_commit_is_unknown_only_if_something_was_written() {
     run(async {
-        let world = World::new();
-        let proxy = world.instance(1);
-        world.settle(&proxy).await;
+        let (world, proxy) = settled().await;
         let caller = world.caller(&proxy, LATEST).await;
         caller.done("BEGIN").await;
         caller.done("WRITE slot mine").await;
@@ -157,9 +151,7 @@
 #[test]
 fn a_transaction_that_loses_its_connection_before_commit_is_rolled_back() {
     run(async {
-        let world = World::new();
-        let proxy = world.instance(1);
-        world.settle(&proxy).await;
+        let (world, proxy) = settled().await;
         let caller = world.caller(&proxy, LATEST).await;
         caller.done("BEGIN").await;
         caller.done("WRITE slot one").await;
@@ -180,9 +172,7 @@
 #[test]
 fn a_transaction_keeps_its_connection_to_itself() {
     run(async {
-        let world = World::new();
-        let proxy = world.instance(1);
-        world.settle(&proxy).await;
+        let (world, proxy) = settled().await;
         let one = world.caller(&proxy, LATEST).await;
         let other = world.caller(&proxy, LATEST).await;
         one.done("BEGIN").await;
@@ -207,9 +197,7 @@
 #[test]
 fn sessions_do_not_see_each_others_values_and_prepared_statements() {
     run(async {
-        let world = World::new();
-        let proxy = world.instance(1);
-        world.settle(&proxy).await;
+        let (world, proxy) = settled().await;
         let one = world.caller(&proxy, LATEST).await;
         let other = world.caller(&proxy, LATEST).await;
         let plain = world.caller(&proxy, LATEST).await;
@@ -243,9 +231,7 @@
 #[test]
 fn a_transaction_that_stands_still_is_rolled_back() {
     run(async {
-        let world = World::new();
-        let proxy = world.instance(1);
-        world.settle(&proxy).await;
+        let (world, proxy) = settled().await;
         let caller = world.caller(&proxy, LATEST).await;
         caller.done("BEGIN").await;
         caller.done("WRITE slot mine").await;
@@ -260,9 +246,7 @@
 #[test]
 fn a_caller_that_leaves_is_rolled_back() {
     run(async {
-        let world = World::new();
-        let proxy = world.instance(1);
-        world.settle(&proxy).await;
+        let (world, proxy) = settled().await;
         let caller = world.caller(&proxy, LATEST).await;
         caller.done("BEGIN").await;
         caller.done("WRITE slot mine").await;
@@ -276,9 +260,7 @@
 #[test]
 fn a_reading_transaction_writes_nothing() {
     run(async {
-        let world = World::new();
-        let proxy = world.instance(1);
-        world.settle(&proxy).await;
+        let (world, proxy) = settled().await;
         let caller = world.caller(&proxy, LATEST).await;
         caller.done("BEGIN READ").await;
         caller.done("READ a").await;
@@ -294,9 +276,7 @@
 #[test]
 fn a_shutdown_answers_what_is_under_way() {
     run(async {
-        let world = World::new();
-        let proxy = world.instance(1);
-        world.settle(&proxy).await;
+        let (world, proxy) = settled().await;
         world.group.work_ms.set(150);
         let busy = world.caller(&proxy, LATEST).await;
         let idle = world.caller(&proxy, LATEST).await;
@@ -322,9 +302,7 @@
 #[test]
 fn services_come_and_go_with_the_configuration() {
     run(async {
-        let world = World::new();
-        let proxy = world.instance(1);
-        world.settle(&proxy).await;
+        let (world, proxy) = settled().await;
         let caller = world.caller(&proxy, BOUNDED).await;
         caller.done("READ a").await;
         let mut without = support::catalogue(2);
@@ -345,9 +323,7 @@
 #[test]
 fn idle_connections_are_given_up_but_for_one() {
     run(async {
-        let world = World::new();
-        let proxy = world.instance(1);
-        world.settle(&proxy).await;
+        let (world, proxy) = settled().await;
         world.group.work_ms.set(50);
         let mut callers = Vec::new();
         for _ in 0..4 {
@@ -369,9 +345,7 @@
 #[test]
 fn a_write_is_acknowledged_once_a_replica_has_it() {
     run(async {
-        let world = World::new();
-        let proxy = world.instance(1);
-        world.settle(&proxy).await;
+        let (world, proxy) = settled().await;
         world.group.set(1, Fault::Deaf);
         world.group.set(2, Fault::Deaf);
         let caller = world.caller(&proxy, LATEST).await;
@@ -391,9 +365,7 @@
 #[test]
 fn a_write_does_not_wait_for_deaf_replicas_for_ever() {
     run(async {
-        let world = World::new();
-        let proxy = world.instance(1);
-        world.settle(&proxy).await;
+        let (world, proxy) = settled().await;
         world.group.set(1, Fault::Deaf);
         world.group.set(2, Fault::Deaf);
         let caller = world.caller(&proxy, LATEST).await;
@@ -409,9 +381,7 @@
 #[test]
 fn a_write_of_a_superseded_leader_is_not_acknowledged() {
     run(async {
-        let world = World::new();
-        let proxy = world.instance(1);
-        world.settle(&proxy).await;
+        let (world, proxy) = settled().await;
         world.group.set(1, Fault::Deaf);
         world.group.set(2, Fault::Deaf);
         let caller = world.caller(&proxy, LATEST).await;
