Split the PostgreSQL session by job, and drop what targets say of their own role

The role in a target's entry decided nothing: only a leader opens a plain transaction. The three parts of the session are its old lines.

--- a/crates/gullspar_caller/src/lib.rs
+++ b/crates/gullspar_caller/src/lib.rs
@@ -16,6 +16,8 @@
 mod router;
 mod scram_exchange;
 mod session;
+mod session_failures;
+mod session_settings;
 mod session_state;
 mod startup;
 mod statement;
--- a/crates/gullspar_caller/src/session.rs
+++ b/crates/gullspar_caller/src/session.rs
@@ -6,23 +6,23 @@
 use bytes::{BufMut, BytesMut};
 use event_listener::EventListener;
 use futures::future::{self, Either};
-use gullspar_model::{Access, Guard, NotRun, Outcome, TargetKey, Token};
+use gullspar_model::{Access, Guard, NotRun, Outcome, TargetKey};
 use gullspar_target::{Canceller, Unit};
 use gullspar_wire::{
-    Channel, ErrorReport, Frame, LaneRequirement, LaneUnit, WireError, caller, parameter_status,
-    queue_server_parameters, ready, status, target,
+    Channel, ErrorReport, Frame, LaneRequirement, LaneUnit, WireError, queue_server_parameters,
+    ready, status, target,
 };
 
 use crate::caller_sink::CallerSink;
 use crate::cancel_registry::Registered;
-use crate::local_answer::{ShownSetting, complete_locally};
-use crate::local_command::{LocalCommand, LocalSetting};
+use crate::local_command::LocalSetting;
 use crate::outcome_report::{not_run_report, refusal, unknown_report};
 use crate::plan::Plan;
 use crate::request::{Request, RequestEnd};
 use crate::request_reader::{Incoming, RequestReader};
 use crate::router::{self, Routed, Routing};
 use crate::scram_exchange::{self, Verifier};
+use crate::session_settings::local_command;
 use crate::session_state::{HeldLane, SessionState, TransactionState};
 use crate::startup::{self, SessionRequest};
 use crate::statement::StatementKind;
@@ -35,9 +35,9 @@
 
 /// A session that has been authenticated.
 pub(crate) struct Session {
-    server: Rc<CallerServer>,
-    state: SessionState,
-    reader: RequestReader,
+    pub(crate) server: Rc<CallerServer>,
+    pub(crate) state: SessionState,
+    pub(crate) reader: RequestReader,
     registered: Registered,
     /// Kept from one wait to the next.
     leaving: Option<EventListener>,
@@ -398,164 +398,11 @@
         }
     }
 
-    fn give_up_lane(&mut self, lane: Option<HeldLane>) {
+    pub(crate) fn give_up_lane(&mut self, lane: Option<HeldLane>) {
         self.state.held = None;
         self.state.batch_open = false;
         if let Some(lane) = lane {
             self.server.router.give_back(lane);
         }
     }
-
-    /// Answers a request of a transaction that is gone, until the caller ends it.
-    ///
-    /// Answered otherwise, a caller that overlooked the error would run the rest of its transaction
-    /// as single statements.
-    async fn answer_in_lost_transaction(
-        &mut self,
-        channel: &mut Channel,
-        req: &Request,
-    ) -> Result<(), WireError> {
-        let ends = req
-            .statements
-            .iter()
-            .any(|it| matches!(it.kind, StatementKind::Commit | StatementKind::RollBack));
-        if !ends {
-            let report = ErrorReport::error("25P02", "the transaction was lost and must be ended")
-                .with_hint("not run; roll back and begin again");
-            return self.fail(channel, req, &report).await;
-        }
-        self.state.transaction = TransactionState::Idle;
-        complete_locally(channel, &req.kinds, None, "ROLLBACK");
-        self.finish(channel, req).await
-    }
-
-    async fn answer_locally(
-        &mut self,
-        channel: &mut Channel,
-        req: &Request,
-        command: LocalCommand,
-    ) -> Result<(), WireError> {
-        let result = match command {
-            LocalCommand::Set { setting, value } => self.set(setting, &value).map(|()| None),
-            LocalCommand::Show { setting } => Ok(Some((setting, self.show(setting)))),
-            LocalCommand::Unknown { name } => {
-                let text = format!("unrecognized setting \"gullspar.{name}\"");
-                Err(ErrorReport::error("42704", text))
-            }
-        };
-        match result {
-            Err(report) => self.fail(channel, req, &report).await,
-            Ok(shown) => {
-                let tag = if shown.is_some() { "SHOW" } else { "SET" };
-                let row = shown
-                    .as_ref()
-                    .map(|(setting, value)| ShownSetting { name: setting.name(), value });
-                complete_locally(channel, &req.kinds, row, tag);
-                self.finish(channel, req).await
-            }
-        }
-    }
-
-    fn set(&mut self, setting: LocalSetting, value: &str) -> Result<(), ErrorReport> {
-        let invalid = |what: String| ErrorReport::error("22023", what);
-        let number = |value: &str| {
-            let parsed: Result<u64, _> = value.parse();
-            parsed.map_err(|_| invalid(format!("{}: \"{value}\" is no number", setting.name())))
-        };
-        match setting {
-            LocalSetting::Token => {
-                let key = &self.server.settings.token_key;
-                let token = key.open(value, &self.state.caller);
-                let token = token.map_err(|err| invalid(format!("gullspar.token: {err}")))?;
-                if token.group != self.state.object.group.name {
-                    return Err(invalid("gullspar.token: it is of another service".to_owned()));
-                }
-                self.state.raise_floor(token.point);
-                self.state.anchored = true;
-            }
-            LocalSetting::MaxAgeMs => self.state.max_age_ms = Some(number(value)?),
-            LocalSetting::DeadlineMs => self.state.deadline_ms = Some(number(value)?),
-            LocalSetting::RequestKey => {
-                if self.state.transaction != TransactionState::Idle {
-                    let text = "gullspar.request_key goes with single requests, not transactions";
-                    return Err(ErrorReport::error("25001", text));
-                }
-                self.state.request_key = (!value.is_empty()).then(|| value.to_owned());
-            }
-            LocalSetting::Instance => {
-                return Err(ErrorReport::error("55P02", "gullspar.instance can't be set"));
-            }
-        }
-        Ok(())
-    }
-
-    fn show(&self, setting: LocalSetting) -> String {
-        let number = |it: Option<u64>| it.map_or(String::new(), |it| it.to_string());
-        match setting {
-            LocalSetting::Token => self.token().unwrap_or_default(),
-            LocalSetting::MaxAgeMs => number(self.state.age_limit_ms()),
-            LocalSetting::DeadlineMs => self.state.time_limit().as_millis().to_string(),
-            LocalSetting::RequestKey => self.state.request_key.clone().unwrap_or_default(),
-            LocalSetting::Instance => self.server.fleet.id().to_string(),
-        }
-    }
-
-    fn token(&self) -> Option<String> {
-        let point = self.state.floor?;
-        let token = Token { group: self.state.object.group.name.clone(), point };
-        Some(self.server.settings.token_key.seal(&token, &self.state.caller))
-    }
-
-    fn report_token(&self, channel: &mut Channel) {
-        if let Some(token) = self.token() {
-            parameter_status(channel.outgoing(), LocalSetting::Token.name(), &token);
-        }
-    }
-
-    /// Answers a request with an error.
-    async fn fail(
-        &mut self,
-        channel: &mut Channel,
-        req: &Request,
-        report: &ErrorReport,
-    ) -> Result<(), WireError> {
-        report.encode(channel.outgoing());
-        if req.end == RequestEnd::Flush {
-            skip_to_sync(channel).await?;
-        }
-        if matches!(self.state.transaction, TransactionState::Open { .. }) {
-            self.state.transaction = TransactionState::Failed { on_target: false };
-            self.give_up_lane(None);
-        }
-        self.finish(channel, req).await
-    }
-
-    async fn finish(&mut self, channel: &mut Channel, req: &Request) -> Result<(), WireError> {
-        if req.end == RequestEnd::Flush && channel.queued() == 0 {
-            return Ok(());
-        }
-        let byte = match self.state.transaction {
-            TransactionState::Idle => status::IDLE,
-            TransactionState::Open { .. } => status::IN_TRANSACTION,
-            TransactionState::Failed { .. } => status::FAILED,
-        };
-        channel.queue(ready(byte).bytes());
-        channel.flush().await
-    }
-}
-
-/// After an error within a batch the caller's messages are skipped up to its Sync.
-async fn skip_to_sync(channel: &mut Channel) -> Result<(), WireError> {
-    channel.flush().await?;
-    while channel.next().await?.kind() != caller::SYNC {}
-    Ok(())
-}
-
-/// The command of a request that gullspar answers itself.
-fn local_command(req: &Request) -> Option<LocalCommand> {
-    let statement = req.statements.first().or(req.described.first())?;
-    match &statement.kind {
-        StatementKind::Local(command) => Some(command.clone()),
-        _ => None,
-    }
 }
--- a/crates/gullspar_direct/tests/support/fake_group.rs
+++ b/crates/gullspar_direct/tests/support/fake_group.rs
@@ -12,7 +12,7 @@
 use gullspar_model::{LogPoint, MemberName};
 use gullspar_statement::{
     Answer, Failure, FailureCode, OpenError, OpenedTarget, TargetCommand, TargetDialer, TargetLink,
-    TargetLinkError, TargetRole, TargetSpec, TransactionStatus,
+    TargetLinkError, TargetSpec, TransactionStatus,
 };
 
 /// What a member may do wrong.
@@ -107,7 +107,6 @@
             data_centre: "dc-1".into(),
             slots: 4,
             leaving: member.leaving.get(),
-            role: if at == self.leader.get() { TargetRole::Primary } else { TargetRole::Replica },
         };
         self.members.iter().enumerate().map(spec).collect()
     }
--- a/crates/gullspar_statement/src/lib.rs
+++ b/crates/gullspar_statement/src/lib.rs
@@ -19,5 +19,5 @@
 pub use statement::{Action, Statement};
 pub use target_command::TargetCommand;
 pub use target_link::{OpenError, OpenedTarget, TargetDialer, TargetLink, TargetLinkError};
-pub use target_spec::{TargetRole, TargetSpec};
+pub use target_spec::TargetSpec;
 pub use transaction_status::TransactionStatus;
--- a/crates/gullspar_statement/src/target_spec.rs
+++ b/crates/gullspar_statement/src/target_spec.rs
@@ -4,12 +4,6 @@
 
 use gullspar_model::{DataCentre, GroupName, MemberName, record};
 
-record! {
-    /// What a target says of its own part in the group; it may be out of date.
-    #[derive(Copy)]
-    pub enum TargetRole { Primary, Replica }
-}
-
 record! {
     /// One member of a group.
     pub struct TargetSpec {
@@ -21,6 +15,5 @@
         pub slots: u32,
         /// It will go away and gets no new work.
         pub leaving: bool,
-        pub role: TargetRole,
     }
 }
