--- a/crates/gullspar_telemetry/tests/lines.rs
+++ b/crates/gullspar_telemetry/tests/lines.rs
@@ -55,8 +55,9 @@
 fn a_full_pipe_costs_lines_and_nothing_else() {
     let (writer, go, out) = full_pipe();
     let started = Instant::now();
+    // Of 100 bytes each: the queue takes 4,096 of them, and the write that waits 656 at most.
     for turn in 0..10_000 {
-        writer.write(format!("line {turn}\n").into_bytes());
+        writer.write(format!("line {turn:094}\n").into_bytes());
     }
     assert!(started.elapsed() < Duration::from_secs(1), "took {:?}", started.elapsed());
     let lost = writer.take_lost();
@@ -64,7 +65,8 @@
     assert_eq!(writer.take_lost(), 0);
     drop(go);
     writer.flush();
-    assert!(out.lock().unwrap().starts_with(b"line 0\n"));
+    let first = format!("line {:094}\n", 0);
+    assert!(out.lock().unwrap().starts_with(first.as_bytes()));
 }
 
 /// A line is one object of JSON with its number, its values and, after a gap, the size of the gap.
