Tell writes that may be lost from those that may not, and account for every log line

Seed 138: a write was acknowledged by its leader alone (G0745, 6 ms after it came, replicas out of reach) and a promotion undid it a millisecond later: what docs/promises.md says may be lost. The check took any lost write for a breach; it does so now for every one that was told after the promotion, and counts the others. The log's test asked for one gap of 60 lines; under load the budget refills while the lines come, and gaps are smaller and more: now every one of the 500 lines must be written or counted.

--- a/crates/gullspar/tests/soak.rs
+++ b/crates/gullspar/tests/soak.rs
@@ -15,7 +15,8 @@
 #[test_case(1; "a seed without a finding")]
 ///
 /// Seed 138 failed once: a write was acknowledged by its leader alone 80 ms after another member had been
-/// promoted without it; the leader is asked now whether it still leads.
+/// promoted without it; the leader is asked now whether it still leads. It failed again when a leader that
+/// led acknowledged alone just before the promotion, which docs/promises.md allows and the soak now counts.
 #[test_case(138; "a leader superseded while replicas can't be asked")]
 #[test_case(101; "a BEGIN that is refused while the instances start")]
 fn seeds_break_no_promise(seed: u64) {
--- a/crates/gullspar_telemetry/tests/lines.rs
+++ b/crates/gullspar_telemetry/tests/lines.rs
@@ -87,6 +87,9 @@
         String::from_utf8_lossy(&out).lines().map(|it| serde_json::from_str(it).unwrap()).collect();
     assert_eq!(lines[0]["message"], "G0733 a statement was served");
     assert_eq!(lines[0]["kvs"]["request"], 0);
-    let gap = lines.iter().find(|it| it["left_out"].is_number()).unwrap();
-    assert!(gap["left_out"].as_u64().unwrap() >= 60, "{gap}");
+    // How many fit depends on the time that the loop took; none may be unaccounted for.
+    let left_out: u64 = lines.iter().filter_map(|it| it["left_out"].as_u64()).sum();
+    let written = lines.iter().filter(|it| it["message"] == "G0733 a statement was served").count();
+    assert!(left_out > 0, "{written} written");
+    assert_eq!(left_out + written as u64, 500);
 }
--- a/crates/gullsparctl/src/soak_command.rs
+++ b/crates/gullsparctl/src/soak_command.rs
@@ -39,13 +39,15 @@
 fn tell(report: &Report) -> bool {
     let passed = report.breaches.is_empty() && report.done_after > 0;
     println!(
-        "seed {}: {}; {} faults, {} written, {} not kept, {} unknown, {} reads, {} written afterwards",
+        "seed {}: {}; {} faults, {} written, {} not kept, {} unknown, {} lost as allowed, {} reads, \
+         {} written afterwards",
         report.seed,
         if passed { "passed" } else { "FAILED" },
         report.faults.len(),
         report.done,
         report.not_kept,
         report.unknown,
+        report.lost_alone,
         report.reads,
         report.done_after,
     );
