Let calls held up by a cut link go on when it is joined, as TCP does

Cause: the check that a missing FreshCall guard is noticed depended on a race. After a cut an instance tried its promotion again only when a call that had been doomed under the cut had slept its 500 ms and a pause of 200 ms had passed; gossip brought the others back within about 200 ms.

The stand-in was wrong: a partition holds bytes up, and TCP sends them again when it ends. Calls to the lab's platform now go on when the link is joined in time and still fail after 500 ms.

Ruled out: the links' new time-outs.

--- a/crates/gullspar_lab/src/borders.rs
+++ b/crates/gullspar_lab/src/borders.rs
@@ -11,13 +11,16 @@
 use futures::future::LocalBoxFuture;
 use gullspar_border::{
     Clock, Dialer, Link, ObjectVersion, PeerError, PeerReply, PeerRequest, Peers, Platform,
-    PlatformError, PlatformInstance, StoredObject, WatchReply,
+    PlatformError, PlatformInstance, StoredObject, WatchReply, within,
 };
 use gullspar_fleet::Borders;
 use gullspar_model::DataCentre;
 
 use crate::Network;
 
+/// How long a call to the platform waits for a cut link before it fails.
+const PLATFORM_ANSWERS_WITHIN: Duration = Duration::from_millis(500);
+
 /// Puts the lab's network between an instance in `data_centre` and everything else.
 pub(crate) fn behind_network(
     inner: Borders,
@@ -195,13 +198,20 @@
 }
 
 impl LabPlatform {
-    /// Fails as a cut link does: late, and without a word.
+    /// Holds a call up as a cut link does: it goes on if the link is joined in time, as TCP sends again
+    /// what was lost, and fails late and without a word otherwise.
     async fn check(&self) -> Result<(), PlatformError> {
-        if !self.side.network.faults.platform_cut(&self.side.own) {
-            return Ok(());
+        let Side { own, network } = &self.side;
+        let deadline = self.clock.now() + PLATFORM_ANSWERS_WITHIN;
+        loop {
+            let changed = network.faults.listen();
+            if !network.faults.platform_cut(own) {
+                return Ok(());
+            }
+            if within(&*self.clock, deadline, changed).await.is_err() {
+                return Err(PlatformError::NoAnswer("the link is cut".to_owned()));
+            }
         }
-        self.clock.sleep_until(self.clock.now() + Duration::from_millis(500)).await;
-        Err(PlatformError::NoAnswer("the link is cut".to_owned()))
     }
 }
 
