Connect to no target before the configuration says how many connections there may be

Cause: the list of targets often reaches a starting instance first; without a configuration it took itself for a home of all groups and connected to all 24 targets, each connection a slot for 27 ms. Test in homes.rs, seen failing first.

--- a/crates/gullspar_direct/src/home_groups.rs
+++ b/crates/gullspar_direct/src/home_groups.rs
@@ -32,7 +32,8 @@
 impl Proxy {
     /// Brings groups, targets and their capacities in line with the directory and the other instances.
     pub(crate) fn tend_groups(&self) {
-        if !self.census.is_taken() {
+        // Without both of them every instance would take itself for a home of all groups.
+        if !self.census.is_taken() || self.directory.catalogue().is_none() {
             return;
         }
         let now = self.borders.clock.now();
@@ -157,9 +158,6 @@
 
     /// Gives up groups that other instances are homes of now, once their sessions had time to leave.
     pub(crate) fn give_up_groups(&self, members: &[Member], now: Instant) {
-        if self.directory.catalogue().is_none() {
-            return;
-        }
         for group in self.groups() {
             let allowance = self.allowance(&group.name);
             let home = allowance.is_none_or(|it| self.is_home(&group.name, it, members));
--- a/crates/gullspar_direct/tests/homes.rs
+++ b/crates/gullspar_direct/tests/homes.rs
@@ -213,3 +213,18 @@
         caller.done("WRITE slot mine").await;
     });
 }
+
+/// Symptom: after a power loss of a large fleet every instance opens a connection to every target.
+/// Events: the list of targets reaches an instance before the configuration does.
+/// Cause: where nothing said how many connections there may be, it took itself for a home of all groups.
+#[test]
+fn no_target_is_connected_to_before_the_configuration_is_known() {
+    run(async {
+        let world = World::new();
+        let proxy = world.instance_without_configuration(1);
+        pause(200).await;
+        assert!(proxy.groups().is_empty() && world.group.connections(0) == 0);
+        proxy.directory.apply_catalogue(support::with_connections(2, CONNECTIONS));
+        until(1000, "it serves", || !proxy.groups().is_empty()).await;
+    });
+}
--- a/crates/gullspar_direct/tests/support/mod.rs
+++ b/crates/gullspar_direct/tests/support/mod.rs
@@ -99,20 +99,25 @@
 
     /// An instance that goes by `catalogue`.
     pub fn instance_with(&self, number: u16, catalogue: Catalogue) -> Rc<Proxy> {
-        self.start(member(number), 1, catalogue)
+        self.start(member(number), 1, Some(catalogue))
+    }
+
+    /// An instance that knows the targets and no configuration.
+    pub fn instance_without_configuration(&self, number: u16) -> Rc<Proxy> {
+        self.start(member(number), 1, None)
     }
 
     /// An instance that others know as `member`.
     pub fn instance_as(&self, member: Member, catalogue: Catalogue) -> Rc<Proxy> {
-        self.start(member, 1, catalogue)
+        self.start(member, 1, Some(catalogue))
     }
 
     /// An instance that is told of the instance `seed` only.
     pub fn instance_with_seed(&self, number: u16, seed: u16) -> Rc<Proxy> {
-        self.start(member(number), seed, catalogue(1))
+        self.start(member(number), seed, Some(catalogue(1)))
     }
 
-    fn start(&self, member: Member, seed: u16, catalogue: Catalogue) -> Rc<Proxy> {
+    fn start(&self, member: Member, seed: u16, catalogue: Option<Catalogue>) -> Rc<Proxy> {
         let Member { id, address, data_centre, strength } = member;
         let borders = Borders {
             clock: Rc::clone(&self.clock),
@@ -127,7 +132,9 @@
         let own = Identity { id, data_centre, strength, address, claim_lease: LEASE };
         let proxy = Proxy::new(own, vec![SocketAddr::from(([127, 0, 0, 1], seed))], borders);
         self.network.join(address, Rc::clone(&proxy));
-        proxy.directory.apply_catalogue(catalogue);
+        if let Some(catalogue) = catalogue {
+            proxy.directory.apply_catalogue(catalogue);
+        }
         self.list_targets(&proxy, 1);
         compio::runtime::spawn(Rc::clone(&proxy).run()).detach();
         proxy
