--- a/crates/gullspar/tests/documents.rs
+++ b/crates/gullspar/tests/documents.rs
@@ -109,6 +109,7 @@
     let values = [
         ("{{nodeName|json}}", "\"front-1\""),
         ("{{zone|json}}", "\"derby-a\""),
+        ("{{limits.cpuShare|json}}", "0.12"),
         ("{{listen.front|json}}", "\"10.1.0.8:8784\""),
         ("{{listen.ready|json}}", "\"10.1.0.8:8785\""),
         ("{{ip}}", "10.1.0.8"),
@@ -126,6 +127,7 @@
     }
     let settings = DirectSettings::parse("instance.jsonc", &text).unwrap();
     assert_eq!(settings.seeds.len(), 2);
+    assert_eq!(settings.processor_cores.thousandths(), 120);
     assert_eq!(settings.grace_s.duration().as_millis(), 6500);
 }
 
