--- a/crates/gullspar_border/src/peers.rs
+++ b/crates/gullspar_border/src/peers.rs
@@ -58,6 +58,13 @@
     }
 }
 
+impl PeerError {
+    /// No answer came, for this reason.
+    pub fn no_answer(reason: impl ToString) -> PeerError {
+        PeerError::NoAnswer(reason.to_string())
+    }
+}
+
 /// Calls other instances.
 pub trait Peers {
     /// Sends `req` to the instance at `to` and waits for its reply until `deadline`.
--- a/crates/gullspar_lab/src/group/session/mod.rs
+++ b/crates/gullspar_lab/src/group/session/mod.rs
@@ -1,8 +1,12 @@
 //! One client's connection to a member.
 
+mod execution;
+mod extended;
+mod parameters;
 mod portal;
 mod session_loop;
 mod sql_error;
+mod sql_text;
 pub(crate) mod value;
 mod wire;
 
--- a/crates/gullspar_net/src/datagram_peers.rs
+++ b/crates/gullspar_net/src/datagram_peers.rs
@@ -68,13 +68,13 @@
         let clock = Rc::clone(&self.clock);
         async move {
             let exchange = async {
-                let stream = TcpStream::connect(from).await.map_err(no_answer)?;
+                let stream = TcpStream::connect(from).await.map_err(PeerError::no_answer)?;
                 let mut framed = Framed::new(TcpLink::new(stream));
                 framed.write(&Hello::Snapshot(req)).await?;
-                framed.read().await?.ok_or_else(|| no_answer("the connection ended"))
+                framed.read().await?.ok_or_else(|| PeerError::no_answer("the connection ended"))
             };
             let answered = within(&*clock, deadline, exchange).await;
-            answered.map_err(|_| no_answer("the deadline passed"))?
+            answered.map_err(|_| PeerError::no_answer("the deadline passed"))?
         }
         .boxed_local()
     }
@@ -87,7 +87,7 @@
         let clock = Rc::clone(&self.clock);
         async move {
             let opened = within(&*clock, deadline, TcpHomeLink::open(to)).await;
-            let link = opened.map_err(|_| no_answer("the deadline passed"))??;
+            let link = opened.map_err(|_| PeerError::no_answer("the deadline passed"))??;
             Ok(Box::new(link) as Box<dyn HomeLink>)
         }
         .boxed_local()
@@ -149,7 +149,3 @@
         Err(_) => log::debug!("G0749 an instance connected and said nothing"),
     }
 }
-
-fn no_answer(reason: impl ToString) -> PeerError {
-    PeerError::NoAnswer(reason.to_string())
-}
--- a/crates/gullspar_net/src/framed.rs
+++ b/crates/gullspar_net/src/framed.rs
@@ -41,11 +41,11 @@
 
     /// Sends one message.
     pub(crate) async fn write<T: Serialize>(&mut self, message: &T) -> Result<(), PeerError> {
-        let body = postcard::to_stdvec(message).map_err(no_answer)?;
+        let body = postcard::to_stdvec(message).map_err(PeerError::no_answer)?;
         let mut buf = BytesMut::with_capacity(LENGTH_BYTES + body.len());
         buf.extend_from_slice(&(body.len() as u32).to_be_bytes());
         buf.extend_from_slice(&body);
-        self.link.send(buf).await.map_err(no_answer)?;
+        self.link.send(buf).await.map_err(PeerError::no_answer)?;
         Ok(())
     }
 
@@ -58,7 +58,7 @@
             let before = self.buf.len();
             let mut buf = std::mem::take(&mut self.buf);
             buf.reserve(READ_ROOM);
-            self.buf = self.link.recv(buf).await.map_err(no_answer)?;
+            self.buf = self.link.recv(buf).await.map_err(PeerError::no_answer)?;
             if self.buf.len() == before {
                 return Ok(None);
             }
@@ -69,14 +69,14 @@
         let Some(length) = self.buf.first_chunk::<LENGTH_BYTES>() else { return Ok(None) };
         let length = u32::from_be_bytes(*length) as usize;
         if length > MESSAGE_LIMIT {
-            return Err(no_answer("the message is too long"));
+            return Err(PeerError::no_answer("the message is too long"));
         }
         if self.buf.len() < LENGTH_BYTES + length {
             return Ok(None);
         }
         self.buf.advance(LENGTH_BYTES);
         let body = self.buf.split_to(length);
-        postcard::from_bytes(&body).map(Some).map_err(no_answer)
+        postcard::from_bytes(&body).map(Some).map_err(PeerError::no_answer)
     }
 
     /// Whether nothing waits to be read, the end of the connection included.
@@ -84,7 +84,3 @@
         self.buf.is_empty() && self.link.is_quiet()
     }
 }
-
-fn no_answer(reason: impl ToString) -> PeerError {
-    PeerError::NoAnswer(reason.to_string())
-}
--- a/crates/gullspar_net/src/relay_link.rs
+++ b/crates/gullspar_net/src/relay_link.rs
@@ -20,7 +20,7 @@
 impl TcpHomeLink {
     /// Connects to the instance at `to` for one session.
     pub(crate) async fn open(to: SocketAddr) -> Result<TcpHomeLink, PeerError> {
-        let stream = TcpStream::connect(to).await.map_err(no_answer)?;
+        let stream = TcpStream::connect(to).await.map_err(PeerError::no_answer)?;
         let mut framed = Framed::new(TcpLink::new(stream));
         framed.write(&Hello::Session).await?;
         Ok(TcpHomeLink { framed })
@@ -83,7 +83,3 @@
 fn broken(err: PeerError) -> CallerLinkError {
     CallerLinkError::Broken(std::io::Error::other(err.to_string()))
 }
-
-fn no_answer(reason: impl ToString) -> PeerError {
-    PeerError::NoAnswer(reason.to_string())
-}
--- a/crates/gullspar_net/src/tarpc_peers.rs
+++ b/crates/gullspar_net/src/tarpc_peers.rs
@@ -32,12 +32,8 @@
     }
 }
 
-fn no_answer(reason: impl ToString) -> PeerError {
-    PeerError::NoAnswer(reason.to_string())
-}
-
 async fn connect(to: SocketAddr) -> Result<PeerServiceClient, PeerError> {
-    let stream = TcpStream::connect(to).await.map_err(no_answer)?;
+    let stream = TcpStream::connect(to).await.map_err(PeerError::no_answer)?;
     // A stream that refuses the option still works, only slower.
     let _ = stream.set_nodelay(true);
     let transport = Framed::new::<
@@ -76,11 +72,11 @@
                 };
                 let mut cx = Context::current();
                 cx.deadline = deadline;
-                client.call(cx, req).await.map_err(no_answer)
+                client.call(cx, req).await.map_err(PeerError::no_answer)
             };
             let result = within(&*clock, deadline, call)
                 .await
-                .unwrap_or_else(|_| Err(no_answer("the deadline passed")));
+                .unwrap_or_else(|_| Err(PeerError::no_answer("the deadline passed")));
             if result.is_err() {
                 // The connection may be broken or stuck; the next call opens a fresh one.
                 clients.borrow_mut().remove(&to);
