--- a/crates/gullspar_direct/tests/detour.rs
+++ b/crates/gullspar_direct/tests/detour.rs
@@ -4,24 +4,12 @@
 
 mod support;
 
-use std::rc::Rc;
-
-use gullspar_direct::Proxy;
 use support::{Fault, LATEST, World, pause, run, until};
 
 /// Time in which an instance notices that it alone lacks a leader: two checks of 200 ms, and 600 ms in which it
 /// may be everybody's trouble.
 const NOTICED_WITHIN: u64 = 2500;
 
-async fn instances(world: &World, count: u16) -> Vec<Rc<Proxy>> {
-    let proxies: Vec<Rc<Proxy>> = (1..=count).map(|it| world.instance(it)).collect();
-    for proxy in &proxies {
-        world.settle(proxy).await;
-    }
-    pause(1700).await;
-    proxies
-}
-
 /// Symptom: callers are refused for as long as a leader is cut off from some instances, although the others
 /// serve.
 /// Events: the leader answers three of four instances; most use it, so that it is rightly not replaced.
@@ -30,7 +18,7 @@
 fn callers_are_served_through_instances_that_reach_the_leader() {
     run(async {
         let world = World::new();
-        let proxies = instances(&world, 4).await;
+        let proxies = world.instances(4).await;
         let open = world.caller(&proxies[3], LATEST).await;
         open.done("WRITE slot before").await;
         world.group.set(0, Fault::DarkTo(4));
@@ -55,7 +43,7 @@
 fn there_is_no_way_around_a_leader_that_failed() {
     run(async {
         let world = World::new();
-        let proxies = instances(&world, 3).await;
+        let proxies = world.instances(3).await;
         let caller = world.caller(&proxies[0], LATEST).await;
         world.group.set(0, Fault::Dark);
         until(NOTICED_WITHIN * 2, "another member leads", || {
--- a/crates/gullspar_direct/tests/failover.rs
+++ b/crates/gullspar_direct/tests/failover.rs
@@ -5,9 +5,8 @@
 mod support;
 
 use std::collections::BTreeSet;
-use std::rc::Rc;
 
-use gullspar_direct::{Claim, Proxy};
+use gullspar_direct::Claim;
 use gullspar_model::Term;
 use gullspar_statement::FailureCode;
 use support::{BOUNDED, Fault, LATEST, World, leader_of, pause, run, until};
@@ -16,21 +15,12 @@
 /// claim, and the 300 ms that the fake promotion takes. Instances also look for 1.5 s after their start.
 const REPLACED_WITHIN: u64 = 5000;
 
-async fn instances(world: &World, count: u16) -> Vec<Rc<Proxy>> {
-    let proxies: Vec<Rc<Proxy>> = (1..=count).map(|it| world.instance(it)).collect();
-    for proxy in &proxies {
-        world.settle(proxy).await;
-    }
-    pause(1700).await;
-    proxies
-}
-
 /// Symptom: writes stop for good when a leader fails.
 #[test]
 fn a_dark_leader_is_replaced_once() {
     run(async {
         let world = World::new();
-        let proxies = instances(&world, 3).await;
+        let proxies = world.instances(3).await;
         world.group.set(0, Fault::Dark);
         until(REPLACED_WITHIN, "another member leads", || {
             world.group.leader() != Some("m0".into())
@@ -57,7 +47,7 @@
     run(async {
         let world = World::new();
         world.promoter.takes_ms.set(1200);
-        let _proxies = instances(&world, 5).await;
+        let _proxies = world.instances(5).await;
         world.group.set(0, Fault::Dark);
         until(REPLACED_WITHIN, "another member leads", || {
             world.group.leader() != Some("m0".into())
@@ -77,7 +67,7 @@
 fn one_instances_view_does_not_replace_a_leader() {
     run(async {
         let world = World::new();
-        let proxies = instances(&world, 3).await;
+        let proxies = world.instances(3).await;
         world.group.set(0, Fault::DarkTo(2));
         pause(2500).await;
         assert_eq!(world.promoter.orders(), []);
@@ -95,7 +85,7 @@
 fn a_cut_off_instance_promotes_nobody_and_sends_callers_elsewhere() {
     run(async {
         let world = World::new();
-        let proxies = instances(&world, 3).await;
+        let proxies = world.instances(3).await;
         world.network.cut(3);
         world.group.set(0, Fault::DarkTo(3));
         until(3000, "the instance is not ready", || !proxies[2].is_ready()).await;
@@ -121,7 +111,7 @@
 fn survivors_that_reach_the_leaders_go_on() {
     run(async {
         let world = World::new();
-        let proxies = instances(&world, 3).await;
+        let proxies = world.instances(3).await;
         world.network.cut(2);
         world.network.cut(3);
         pause(1500).await;
@@ -137,7 +127,7 @@
 fn a_leaving_leader_hands_over_with_all_its_commits() {
     run(async {
         let world = World::new();
-        let proxies = instances(&world, 2).await;
+        let proxies = world.instances(2).await;
         world.group.set(1, Fault::Deaf);
         world.group.set(2, Fault::Deaf);
         world.caller(&proxies[0], LATEST).await.done("WRITE slot mine").await;
@@ -160,7 +150,7 @@
 fn a_claim_whose_answer_is_lost_is_read_back() {
     run(async {
         let world = World::new();
-        let _proxies = instances(&world, 2).await;
+        let _proxies = world.instances(2).await;
         world.claims.loses_answers.set(true);
         world.group.set(0, Fault::Dark);
         until(REPLACED_WITHIN, "another member leads", || {
@@ -178,7 +168,7 @@
 fn an_order_that_is_lost_is_given_again_with_a_higher_token() {
     run(async {
         let world = World::new();
-        let _proxies = instances(&world, 2).await;
+        let _proxies = world.instances(2).await;
         world.promoter.ignores.set(1);
         world.group.set(0, Fault::Dark);
         until(2 * REPLACED_WITHIN, "another member leads", || {
@@ -195,7 +185,7 @@
 fn without_the_store_a_leader_is_waited_for() {
     run(async {
         let world = World::new();
-        let proxies = instances(&world, 2).await;
+        let proxies = world.instances(2).await;
         world.claims.away.set(true);
         world.group.set(0, Fault::Dark);
         pause(2000).await;
@@ -214,7 +204,7 @@
 fn a_claim_first_seen_in_the_store_is_respected_while_its_holder_lives() {
     run(async {
         let world = World::new();
-        let proxies = instances(&world, 2).await;
+        let proxies = world.instances(2).await;
         let other = proxies[1].groups().len();
         assert_eq!(other, 1);
         world.claims.put(Claim {
@@ -241,7 +231,7 @@
 fn a_log_of_a_superseded_term_is_not_promoted() {
     run(async {
         let world = World::new();
-        let _proxies = instances(&world, 2).await;
+        let _proxies = world.instances(2).await;
         world.claims.put(Claim {
             holder: "instance-9".into(),
             member: "m1".into(),
@@ -267,7 +257,7 @@
 fn a_minority_promotes_nobody_when_it_forms_its_own_homes() {
     run(async {
         let world = World::new();
-        let proxies = instances(&world, 5).await;
+        let proxies = world.instances(5).await;
         world.network.cut_between(&[1, 2], &[3, 4, 5]);
         world.group.set(0, Fault::DarkTo(4));
         world.group.set(0, Fault::DarkTo(5));
--- a/crates/gullspar_direct/tests/support/mod.rs
+++ b/crates/gullspar_direct/tests/support/mod.rs
@@ -50,6 +50,9 @@
 /// How long the last holder of a claim is alone.
 pub const LEASE: Duration = Duration::from_millis(1500);
 
+/// How long after their start instances judge leaders, in milliseconds: 1,500, and some for the way there.
+const JUDGE_AFTER_MS: u64 = 1700;
+
 /// Everything around one or more instances.
 pub struct World {
     pub group: Rc<FakeGroup>,
@@ -140,6 +143,16 @@
         proxy
     }
 
+    /// Several instances that have looked for long enough to judge a leader.
+    pub async fn instances(&self, count: u16) -> Vec<Rc<Proxy>> {
+        let proxies: Vec<Rc<Proxy>> = (1..=count).map(|it| self.instance(it)).collect();
+        for proxy in &proxies {
+            self.settle(proxy).await;
+        }
+        pause(JUDGE_AFTER_MS).await;
+        proxies
+    }
+
     /// Tells an instance which targets there are.
     pub fn list_targets(&self, proxy: &Proxy, revision: u64) {
         let list = TargetList { revision, targets: self.group.specs() };
