Read again from targets that were slow, see the queues before targets, and run no read twice while it waits

Cause 1: the mean of what statements take changes with statements only. Cause 2: a target was chosen by statements on their way; those that wait for a place did not count, so that a burst went to one target.

Change: slowness beyond the group's fastest mean halves every 0.5 s; queues count in what a target is expected to need; a read that waits is withdrawn when another target is the better choice by now, and stays otherwise; one that was never sent is refused as not run at its deadline, no longer as timed out.

Tests: placing.rs, both seen failing.

--- a/crates/gullspar_direct/src/placing.rs
+++ b/crates/gullspar_direct/src/placing.rs
@@ -33,15 +33,17 @@
 
 /// The best target for a read, if any can serve it now.
 pub(crate) fn choose(group: &Group, wanted: &Wanted<'_>) -> Option<Rc<Target>> {
+    let targets = group.targets();
+    let usual = targets.iter().map(|it| it.mean()).min().unwrap_or_default();
     let able = |avoided: bool| {
-        group
-            .targets()
-            .into_iter()
+        targets
+            .iter()
             .filter(|it| !it.is_dark() && it.was_heard())
             .filter(|it| !wanted.tried.contains(&it.member()))
             .filter(|it| avoided || !it.is_avoided(wanted.now))
             .filter(|it| is_able(group, it, wanted))
-            .min_by_key(|it| cost(group, it, wanted))
+            .min_by_key(|it| cost(group, it, wanted, usual))
+            .cloned()
     };
     able(false).or_else(|| able(true))
 }
@@ -54,9 +56,9 @@
     !target.spec().leaving && !target.is_behind(point, wanted.now)
 }
 
-fn cost(group: &Group, target: &Target, wanted: &Wanted<'_>) -> Duration {
+fn cost(group: &Group, target: &Target, wanted: &Wanted<'_>, usual: Duration) -> Duration {
     let spec = target.spec();
-    let mut cost = target.expected();
+    let mut cost = target.expected(usual);
     if spec.data_centre != *wanted.own {
         cost += REMOTE_COST;
     }
--- a/crates/gullspar_direct/src/read_path.rs
+++ b/crates/gullspar_direct/src/read_path.rs
@@ -1,9 +1,12 @@
 //! Reads outside of transactions.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use event_listener::Event;
 use futures::channel::mpsc;
+use futures::future::Either;
 use futures::{StreamExt, future};
 use gullspar_border::{DeadlinePassed, within};
 use gullspar_model::{LogPoint, MemberName, NotRun};
@@ -28,6 +31,24 @@
 /// would only multiply the load.
 const TRIES_AT_ONCE: usize = 3;
 
+/// One try of a read, while it runs.
+struct Try {
+    member: MemberName,
+    /// When it was begun, or last looked at while it waited for its place.
+    looked_at: Cell<Instant>,
+    /// When it got its place; from then on it may run.
+    sent_at: Cell<Option<Instant>>,
+    withdrawn: Cell<bool>,
+    withdraw: Event,
+}
+
+impl Try {
+    /// When to look whether another try is due.
+    fn look_at(&self, patience: Duration) -> Instant {
+        self.sent_at.get().unwrap_or(self.looked_at.get()) + patience
+    }
+}
+
 /// Where a read goes.
 pub(crate) struct Place {
     pub(crate) target: Rc<Target>,
@@ -65,62 +86,94 @@
         let clock = Rc::clone(&self.borders.clock);
         let (tx, mut rx) = mpsc::unbounded();
         let mut tried: Vec<MemberName> = Vec::new();
-        let mut running = 0;
+        let mut running: Vec<Rc<Try>> = Vec::new();
         let mut last = NotRun::NoPrimary;
         let mut failed = None;
+        let mut another_due = true;
         while clock.now() < req.deadline {
-            let place = if running < TRIES_AT_ONCE { self.place(group, req, &tried) } else { None };
-            let mut until = req.deadline;
-            if let Some(place) = place {
-                tried.push(place.target.member());
-                place.note(trace);
-                running += 1;
-                self.spawn_try(group, req, place, tx.clone());
-                until = until.min(clock.now() + req.patience);
-            } else if running == 0 {
-                if self.is_hopeless(group) {
-                    break;
+            if another_due && running.len() < TRIES_AT_ONCE {
+                if let Some(place) = self.place(group, req, &tried) {
+                    tried.push(place.target.member());
+                    place.note(trace);
+                    running.push(self.spawn_try(group, req, place, tx.clone()));
+                    another_due = false;
+                } else if running.is_empty() {
+                    if self.is_hopeless(group) {
+                        break;
+                    }
+                    // Nothing can serve it at this moment.
+                    tried.clear();
+                    let pause = (clock.now() + LOOK_AGAIN).min(req.deadline);
+                    let _ = within(&*clock, pause, group.listen()).await;
+                    continue;
                 }
-                // Nothing can serve it at this moment.
-                tried.clear();
-                let pause = (clock.now() + LOOK_AGAIN).min(req.deadline);
-                let _ = within(&*clock, pause, group.listen()).await;
-                continue;
             }
-            match next_end(&*clock, &mut rx, until).await {
-                Ok(End::Answered(answer)) => {
+            let newest = running.last().filter(|_| !another_due);
+            let until = newest.map_or(req.deadline, |it| it.look_at(req.patience));
+            let Ok((ended, end)) = next_end(&*clock, &mut rx, until.min(req.deadline)).await else {
+                if let Some(newest) = running.last() {
+                    another_due = self.another_is_due(group, req, &tried, newest);
+                }
+                continue;
+            };
+            running.retain(|it| !Rc::ptr_eq(it, &ended));
+            another_due = true;
+            match end {
+                End::Answered(answer) => {
                     let retry =
                         answer.result.as_ref().is_err_and(|it| it.code == FailureCode::Failed);
                     if !retry || failed.is_some() {
                         return answer;
                     }
-                    running -= 1;
                     failed = Some(answer);
                 }
-                Ok(End::NotRun(reason)) => {
-                    running -= 1;
-                    last = reason;
-                }
-                Ok(End::Refused(reason)) => {
-                    running -= 1;
+                End::NotRun(reason) => last = reason,
+                End::Refused(reason) => {
                     last = reason;
-                    if running == 0 && self.place(group, req, &tried).is_none() {
+                    if running.is_empty() && self.place(group, req, &tried).is_none() {
                         break;
                     }
                 }
-                Ok(End::Lost | End::Silent) => running -= 1,
-                // Its target is silent for long; another one is tried beside it.
-                Err(DeadlinePassed) => {}
+                End::Lost | End::Silent => {}
             }
         }
         if let Some(answer) = failed {
             return answer;
         }
-        let failure = if running > 0 { refusal::timed_out() } else { refusal::not_run(last) };
-        log::info!(request = req.id.as_str(), group = group.name.as_str(), reason = failure.text.as_str(), running = running; "G0721 a read is given up");
+        let sent = running.iter().any(|it| it.sent_at.get().is_some());
+        let failure = if sent { refusal::timed_out() } else { refusal::not_run(last) };
+        log::info!(request = req.id.as_str(), group = group.name.as_str(), reason = failure.text.as_str(), running = running.len(); "G0721 a read is given up");
         Answer::failed(failure, TransactionStatus::Idle)
     }
 
+    /// Whether another try is due beside `newest`, whose time to be looked at has come.
+    ///
+    /// One that was sent and is silent gets another beside it. One that still waits for its place here is
+    /// withdrawn if another target is the better choice by now, and stays otherwise: beside it, the same
+    /// read would stand in two queues and be run twice, just when targets have too much to do.
+    fn another_is_due(
+        &self,
+        group: &Group,
+        req: &Request,
+        tried: &[MemberName],
+        newest: &Try,
+    ) -> bool {
+        let now = self.borders.clock.now();
+        if newest.sent_at.get().is_some() {
+            return now >= newest.look_at(req.patience);
+        }
+        newest.looked_at.set(now);
+        let others: Vec<MemberName> =
+            tried.iter().filter(|it| **it != newest.member).cloned().collect();
+        let better =
+            self.place(group, req, &others).filter(|it| it.target.member() != newest.member);
+        if better.is_some() {
+            newest.withdrawn.set(true);
+            newest.withdraw.notify(usize::MAX);
+        }
+        false
+    }
+
     /// The best place for a read now.
     pub(crate) fn place(
         &self,
@@ -162,15 +215,24 @@
         group: &Rc<Group>,
         req: &Rc<Request>,
         place: Place,
-        tx: mpsc::UnboundedSender<End>,
-    ) {
+        tx: mpsc::UnboundedSender<(Rc<Try>, End)>,
+    ) -> Rc<Try> {
         let (this, group, req) = (Rc::clone(self), Rc::clone(group), Rc::clone(req));
+        let own = Rc::new(Try {
+            member: place.target.member(),
+            looked_at: Cell::new(this.borders.clock.now()),
+            sent_at: Cell::new(None),
+            withdrawn: Cell::new(false),
+            withdraw: Event::new(),
+        });
+        let tried = Rc::clone(&own);
         let task = async move {
-            let end = this.try_read(&group, &req, place, &tx).await;
+            let end = this.try_read(&group, &req, place, &tried, &tx).await;
             // Nobody waits if another try was faster; the connection is back in its pool all the same.
-            let _ = tx.unbounded_send(end);
+            let _ = tx.unbounded_send((tried, end));
         };
         compio::runtime::spawn(task).detach();
+        own
     }
 
     async fn try_read(
@@ -178,16 +240,27 @@
         group: &Rc<Group>,
         req: &Request,
         place: Place,
-        tx: &mpsc::UnboundedSender<End>,
+        own: &Try,
+        tx: &mpsc::UnboundedSender<(Rc<Try>, End)>,
     ) -> End {
         let target = place.target;
-        let permit = match target.admit(req).await {
+        let withdraw = own.withdraw.listen();
+        let admitted = {
+            let admit = target.admit(req);
+            futures::pin_mut!(admit);
+            match future::select(admit, withdraw).await {
+                Either::Left((admitted, _)) => admitted,
+                Either::Right(_) => return End::NotRun(NotRun::Overloaded { retry_after_ms: 0 }),
+            }
+        };
+        let permit = match admitted {
             Ok(permit) => permit,
             Err(reason) => return End::Refused(reason),
         };
-        if tx.is_closed() {
+        if tx.is_closed() || own.withdrawn.get() {
             return End::NotRun(NotRun::DeadlinePassed);
         }
+        own.sent_at.set(Some(self.borders.clock.now()));
         let around = Surroundings {
             borders: self.borders.clone(),
             group: Rc::clone(group),
@@ -205,9 +278,9 @@
 
 async fn next_end(
     clock: &dyn gullspar_border::Clock,
-    rx: &mut mpsc::UnboundedReceiver<End>,
+    rx: &mut mpsc::UnboundedReceiver<(Rc<Try>, End)>,
     until: Instant,
-) -> Result<End, DeadlinePassed> {
+) -> Result<(Rc<Try>, End), DeadlinePassed> {
     match within(clock, until, rx.next()).await? {
         Some(end) => Ok(end),
         // A sender is held while waiting, so that the channel can't have ended.
--- a/crates/gullspar_direct/src/target.rs
+++ b/crates/gullspar_direct/src/target.rs
@@ -30,6 +30,13 @@
 /// Time that a statement is expected to take where nothing is known yet.
 const UNKNOWN_MEAN: Duration = Duration::from_millis(20);
 
+/// Time in which half of what was learnt beyond that is forgotten: a replica that was taken to need 800 ms is
+/// asked again after two seconds, while replicas lag for five to ten.
+const SLOWNESS_HALVES_EVERY: Duration = Duration::from_millis(500);
+
+/// Halvings after which nothing is left.
+const MOST_HALVINGS: u128 = 30;
+
 /// A target, its connections and what was seen of it lately.
 pub(crate) struct Target {
     spec: RefCell<Rc<TargetSpec>>,
@@ -39,7 +46,9 @@
     misses: Cell<u32>,
     heard: Cell<Option<BootInstant>>,
     in_flight: Cell<u32>,
+    /// Running mean of what statements took, and when it was last learnt.
     mean_us: Cell<u64>,
+    learnt_at: Cell<Instant>,
     avoid_until: Cell<Option<Instant>>,
     behind: Cell<Option<(LogPoint, Instant)>>,
     pub(crate) removed: Cell<bool>,
@@ -67,6 +76,7 @@
             heard: Cell::new(None),
             in_flight: Cell::new(0),
             mean_us: Cell::new(UNKNOWN_MEAN.as_micros() as u64),
+            learnt_at: Cell::new(borders.clock.now()),
             avoid_until: Cell::new(None),
             behind: Cell::new(None),
             removed: Cell::new(false),
@@ -167,14 +177,37 @@
         let mean = self.mean_us.get();
         let sample = took.as_micros() as u64;
         self.mean_us.set((mean * (MEAN_WEIGHT - 1) + sample) / MEAN_WEIGHT);
-    }
-
-    /// What one more statement will probably take, those on their way included.
-    pub(crate) fn expected(&self) -> Duration {
-        let slots = u64::from(self.spec.borrow().slots.max(1));
-        let rounds = u64::from(self.in_flight.get()) / slots;
-        let extra = self.mean_us.get() * u64::from(self.in_flight.get()) / slots / 4;
-        Duration::from_micros(self.mean_us.get() * (rounds + 1) + extra)
+        self.learnt_at.set(self.clock.now());
+    }
+
+    /// What a statement took here of late.
+    pub(crate) fn mean(&self) -> Duration {
+        Duration::from_micros(self.mean_us.get())
+    }
+
+    /// What a statement takes here, where others of the group need `usual`.
+    ///
+    /// What was learnt beyond that is forgotten by and by: a target that nobody asks any more has no way
+    /// to show that it is fast again. Two replicas that had lagged for ten seconds were asked for 8 reads
+    /// a second instead of 110 for the rest of the day, and their leader refused a tenth of its callers.
+    fn mean_against(&self, usual: Duration) -> Duration {
+        let mean = self.mean();
+        let passed = self.clock.now().saturating_duration_since(self.learnt_at.get());
+        let halvings = passed.as_millis() / SLOWNESS_HALVES_EVERY.as_millis();
+        let beyond = mean.saturating_sub(usual);
+        mean.min(usual) + beyond / 2u32.pow(halvings.min(MOST_HALVINGS) as u32)
+    }
+
+    /// What one more statement will probably take, those on their way and those that wait for a place
+    /// included.
+    ///
+    /// Without the latter a burst goes to one target as long as none of it has been sent, and a leader with
+    /// sixty reads before it looks idle.
+    pub(crate) fn expected(&self, usual: Duration) -> Duration {
+        let before = self.in_flight.get() + self.admission.queued() as u32;
+        let places = self.admission.capacity();
+        let mean = self.mean_against(usual);
+        mean * (before / places + 1) + mean * before / places / 4
     }
 }
 
--- /dev/null
+++ b/crates/gullspar_direct/tests/placing.rs
@@ -0,0 +1,65 @@
+//! Where reads go under load.
+
+#![allow(clippy::unwrap_used, reason = "a test that can't go on must fail")]
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use futures::future;
+use support::{BOUNDED, Fault, World, run};
+
+/// How long replicas are read from again after they were slow: four halvings of what was learnt, and some for
+/// the reads in which it shows.
+const FORGIVEN_WITHIN: Duration = Duration::from_millis(4000);
+
+/// Symptom: a tenth of one group's callers is refused for the rest of the day, long after its replicas were slow.
+/// Events: replicas answer slowly for a while; reads go to the leader; the replicas recover.
+/// Cause: the mean of what their statements take changes with statements only, and they got none.
+#[test]
+fn replicas_that_were_slow_are_read_from_again() {
+    run(async {
+        let world = World::new();
+        let proxy = world.instance(1);
+        world.settle(&proxy).await;
+        let caller = world.caller(&proxy, BOUNDED).await;
+        for member in [1, 2] {
+            world.group.set(member, Fault::Slow(250));
+        }
+        let leader = world.group.leader().unwrap();
+        let on_leader = || world.group.ran().last().is_some_and(|it| it.member == leader);
+        let started = Instant::now();
+        while started.elapsed() < Duration::from_secs(3) || !on_leader() {
+            caller.done("READ slot").await;
+        }
+        for member in [1, 2] {
+            world.group.mend(member);
+        }
+        let mended = Instant::now();
+        while on_leader() {
+            assert!(mended.elapsed() < FORGIVEN_WITHIN, "replicas are not read from again");
+            caller.done("READ slot").await;
+        }
+    });
+}
+
+/// Symptom: in a burst some targets have long queues while others idle.
+/// Events: thirty reads arrive at once; a target is chosen for each before any was sent.
+/// Cause: only statements on their way counted, not those that wait for a place.
+#[test]
+fn a_burst_is_spread_over_the_replicas() {
+    run(async {
+        let world = World::new();
+        let proxy = world.instance(1);
+        world.settle(&proxy).await;
+        world.group.work_ms.set(50);
+        let callers = future::join_all((0..32).map(|_| world.caller(&proxy, BOUNDED))).await;
+        let before = world.group.ran().len();
+        future::join_all(callers.iter().map(|it| it.done("READ slot"))).await;
+        let ran = world.group.ran();
+        let busiest = ["m0", "m1", "m2"]
+            .map(|name| ran[before..].iter().filter(|it| it.member.as_str() == name).count());
+        assert!(busiest.iter().all(|it| *it <= 18), "{busiest:?}");
+        assert_eq!(ran.len() - before, 32, "each runs once");
+    });
+}
--- a/crates/gullspar_direct/tests/support/fake_group.rs
+++ b/crates/gullspar_direct/tests/support/fake_group.rs
@@ -30,6 +30,8 @@
     Busy,
     /// It takes no further connections.
     Full,
+    /// Callers' statements take this many milliseconds longer.
+    Slow(u64),
     /// It learns nothing new from the leader.
     Deaf,
 }
@@ -357,7 +359,12 @@
         if let Err(code) = self.reaches(at_least) {
             return Ok(self.answer(Vec::new(), Err(code)));
         }
-        compio::time::sleep(Duration::from_millis(self.group.work_ms.get())).await;
+        let slow = self.member.faults.borrow().iter().find_map(|it| match it {
+            Fault::Slow(ms) => Some(*ms),
+            _ => None,
+        });
+        let work_ms = self.group.work_ms.get() + slow.unwrap_or(0);
+        compio::time::sleep(Duration::from_millis(work_ms)).await;
         let (rows, result) = self.carry_out(text);
         if result.is_ok() {
             self.group.ran.borrow_mut().push(Ran {
--- a/crates/gullspar_target/src/admission.rs
+++ b/crates/gullspar_target/src/admission.rs
@@ -69,6 +69,11 @@
         self.grant_waiting();
     }
 
+    /// Permits that may be granted at once.
+    pub fn capacity(&self) -> u32 {
+        self.capacity.get()
+    }
+
     /// Permits granted now.
     pub fn busy(&self) -> u32 {
         self.busy.get()
