--- a/crates/gullspar_direct/src/home_groups.rs
+++ b/crates/gullspar_direct/src/home_groups.rs
@@ -22,8 +22,8 @@
 /// Instances that stand in for homes that can't be reached, in the order of preference.
 const SPARE_HOMES: usize = 2;
 
-/// How long a home that could not be reached comes after its stand-ins. Opening the way to one that is dark
-/// takes a quarter of a second, and beacons show for 1.2 to 4 s later that it is gone.
+/// How long a home that could not be reached comes after its stand-ins. Each session that
+/// is opened at one that is dark waits 0.4 s in vain, and only 1.2 to 4 s later beacons show that it is gone.
 const AVOID_HOME_FOR: Duration = Duration::from_secs(2);
 
 /// How long a group that other instances are homes of now is kept for the sessions that are open.
