--- a/crates/gullspar/tests/soak.rs
+++ b/crates/gullspar/tests/soak.rs
@@ -18,6 +18,10 @@
 /// promoted without it; the leader is asked now whether it still leads. It failed again when a leader that
 /// led acknowledged alone just before the promotion, which docs/promises.md allows and the soak now counts.
 #[test_case(138; "a leader superseded while replicas can't be asked")]
+///
+/// Seed 25567 failed once: a write that was not answered in time reached its leader when that was back, after its
+/// caller had written again; the check took the lower value for the older one. It goes by the log's order now.
+#[test_case(25567; "a write whose outcome is unknown takes effect late")]
 #[test_case(101; "a BEGIN that is refused while the instances start")]
 fn seeds_break_no_promise(seed: u64) {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
