Confirm no write by a leader's word that may have been superseded; take a target's restart for a new target; read past entries of other writers

Ruled out: readings of an older term, a commit made before the cut, a replica's position. The word of the leader now counts only while most instances vouched for it within 0.35 s and nobody claimed its succession. A target that starts again under its name was taken for what it was: same connections, lead and pace. A claim that can't be read is claimed over; before, it stopped failovers of its group for ever.

--- a/crates/gullspar_direct/src/caller_session.rs
+++ b/crates/gullspar_direct/src/caller_session.rs
@@ -289,13 +289,21 @@
         let req = self.request(statement, Access::Read, None, &route);
         let group = transaction.group();
         let ended = transaction.commit(&self.proxy, &req).await;
-        if ended.wrote { self.acknowledge(&group, ended.answer).await } else { ended.answer }
+        if !ended.wrote {
+            return ended.answer;
+        }
+        self.acknowledge(&group, ended.answer, req.deadline).await
     }
 
     /// Lets the success of a write through once it would survive its leader.
-    async fn acknowledge(&mut self, group: &Rc<Group>, answer: Answer) -> Answer {
+    async fn acknowledge(
+        &mut self,
+        group: &Rc<Group>,
+        answer: Answer,
+        deadline: Instant,
+    ) -> Answer {
         let Some(point) = answer.point else { return answer };
-        match self.proxy.confirm(group, point).await {
+        match self.proxy.confirm(group, point, deadline).await {
             Standing::Held | Standing::Alone => {
                 self.own_commit = self.own_commit.max(Some(point));
                 answer
@@ -341,7 +349,7 @@
             Access::Write => proxy.write(&group, &req, &mut self.trace).await,
         };
         if access == Access::Write && answer.result.is_ok() {
-            answer = self.acknowledge(&group, answer).await;
+            answer = self.acknowledge(&group, answer, req.deadline).await;
         }
         answer.status = TransactionStatus::Idle;
         answer
--- a/crates/gullspar_direct/src/claim_book.rs
+++ b/crates/gullspar_direct/src/claim_book.rs
@@ -62,6 +62,11 @@
         Some(ClaimNote { token: known.token, holder: known.holder.clone(), age_ms })
     }
 
+    /// Whether anybody acted after `at`.
+    pub fn acted_after(&self, at: BootInstant) -> bool {
+        self.newest.as_ref().is_some_and(|it| it.acted_at > at)
+    }
+
     /// Who acted last.
     pub fn holder(&self) -> Option<&InstanceId> {
         self.newest.as_ref().map(|it| &it.holder)
--- a/crates/gullspar_direct/src/claims.rs
+++ b/crates/gullspar_direct/src/claims.rs
@@ -21,6 +21,14 @@
     }
 }
 
+/// The claim that stands for a group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StandingClaim {
+    pub token: FencingToken,
+    /// `None` if another writer has put something there that is no claim; it can be claimed over.
+    pub claim: Option<Claim>,
+}
+
 quick_error! {
     /// Why a claim was not obtained.
     #[derive(Clone, Debug, PartialEq, Eq)]
@@ -46,7 +54,7 @@
     fn standing<'a>(
         &'a self,
         group: &'a GroupName,
-    ) -> LocalBoxFuture<'a, Result<Option<(FencingToken, Claim)>, ClaimError>>;
+    ) -> LocalBoxFuture<'a, Result<Option<StandingClaim>, ClaimError>>;
 
     /// Replaces the claim with token `over`, or makes the first one; gives the new token.
     fn claim<'a>(
--- a/crates/gullspar_direct/src/confirmation.rs
+++ b/crates/gullspar_direct/src/confirmation.rs
@@ -5,7 +5,7 @@
 //! promised, and what is not, stands in `docs/promises.md`.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use gullspar_border::within;
 use gullspar_model::LogPoint;
@@ -32,24 +32,33 @@
 /// replicas that are far behind are not asked twenty times for nothing.
 const FIRST_PAUSE: Duration = Duration::from_millis(5);
 
+/// Between two looks at whether a commit that only its leader has may be acknowledged; beacons come every
+/// 200 ms.
+const VOUCH_PAUSE: Duration = Duration::from_millis(50);
+
 /// How a commit stands with the replicas.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Standing {
     /// Whoever leads next has it.
     Held,
-    /// No replica was seen to have it in time, and its leader leads still.
+    /// No replica was seen to have it in time, its leader leads still, and nobody is about to replace it.
     Alone,
-    /// Another term has begun, or may have, and it can't be told whether its log has the commit.
+    /// Another term has begun, or may be about to, and it can't be told whether its log has the commit.
     Superseded,
 }
 
 impl Proxy {
-    /// Waits until the commit at `point` would survive the leader.
-    pub(crate) async fn confirm(&self, group: &Rc<Group>, point: LogPoint) -> Standing {
+    /// Waits until the commit at `point` would survive the leader, or until `deadline`.
+    pub(crate) async fn confirm(
+        &self,
+        group: &Rc<Group>,
+        point: LogPoint,
+        deadline: Instant,
+    ) -> Standing {
         let clock = &self.borders.clock;
         let asked = clock.now();
         let wait = if group.replicas_lag(asked) { LAGGING_WAIT } else { CONFIRM_WITHIN };
-        let deadline = asked + wait;
+        let mut alone_at = asked + wait;
         let mut look_at = asked + group.usual_lag();
         let mut pause = FIRST_PAUSE;
         loop {
@@ -61,16 +70,19 @@
                 return standing;
             }
             let now = clock.now();
-            if now >= deadline {
+            if now >= alone_at || staying(group).is_empty() {
                 if !self.still_leads(group, point).await {
                     return Standing::Superseded;
                 }
-                log::info!(group = group.name.as_str(), term = point.term.0, position = point.position.0; "G0745 a commit is acknowledged by the leader alone");
-                self.borders.stats.acknowledged_alone();
-                if wait == CONFIRM_WITHIN {
-                    group.note_lag(now + LAG_HOLDS_FOR);
+                if self.may_stand_alone(group) {
+                    self.note_alone(group, point, wait);
+                    return Standing::Alone;
+                }
+                if now >= deadline {
+                    log::warn!(group = group.name.as_str(), term = point.term.0, position = point.position.0; "G0756 a commit is held by its leader alone, and another leader may have been ordered");
+                    return Standing::Superseded;
                 }
-                return Standing::Alone;
+                alone_at = (now + VOUCH_PAUSE).min(deadline);
             }
             if now >= look_at {
                 look(&self.borders, group, point);
@@ -78,18 +90,42 @@
                 pause *= 2;
             }
             // Either way it is looked at again.
-            let _ = within(&**clock, look_at.min(deadline), progress).await;
+            let _ = within(&**clock, look_at.min(alone_at), progress).await;
         }
     }
-}
 
-impl Proxy {
+    /// Whether a write that is sent to the leader now can be acknowledged at all.
+    pub(crate) fn can_confirm(&self, group: &Group) -> bool {
+        !staying(group).is_empty() || self.may_stand_alone(group)
+    }
+
+    fn note_alone(&self, group: &Group, point: LogPoint, wait: Duration) {
+        log::info!(group = group.name.as_str(), term = point.term.0, position = point.position.0; "G0745 a commit is acknowledged by the leader alone");
+        self.borders.stats.acknowledged_alone();
+        if wait == CONFIRM_WITHIN {
+            group.note_lag(self.borders.clock.now() + LAG_HOLDS_FOR);
+        }
+    }
+
+    /// Whether the word of the leader alone is good enough: nobody has set about replacing it.
+    ///
+    /// Behind a cut, an instance that is alone with the leader hears nothing of the promotion that the
+    /// others have ordered. What it acknowledged in the 300 to 1,000 ms until that took effect was rolled
+    /// back, seen as confirmed bookings that are gone.
+    fn may_stand_alone(&self, group: &Group) -> bool {
+        let Some(leader) = group.leader() else { return false };
+        let now = self.borders.clock.boot_now();
+        !group.is_being_replaced(now) && self.peers.vouch_for(&group.name, &leader.member, now)
+    }
+
     /// Whether the leader of the term of `point` leads now, as it says itself.
     async fn still_leads(&self, group: &Rc<Group>, point: LogPoint) -> bool {
         let Some(leader) = group.working_leader() else { return false };
         target_watch::leads(&self.borders, group, &leader).await
             && group.newest_term() == point.term
             && group.is_leader(&leader.member())
+            // One that has started anew meanwhile may lead without it.
+            && leader.point() >= Some(point)
     }
 }
 
@@ -99,12 +135,12 @@
         return Some(Standing::Superseded);
     }
     let replicas = staying(group);
-    if replicas.is_empty() {
-        return Some(Standing::Alone);
-    }
     let mut held = replicas.iter().map(|it| has(it, point));
     // A leader that leaves hands over to one of them, and it is not known to which.
-    let held = if group.leader_leaves() { held.all(|it| it) } else { held.any(|it| it) };
+    let held = match group.leader_leaves() {
+        true => !replicas.is_empty() && held.all(|it| it),
+        false => held.any(|it| it),
+    };
     held.then_some(Standing::Held)
 }
 
--- a/crates/gullspar_direct/src/directory.rs
+++ b/crates/gullspar_direct/src/directory.rs
@@ -57,6 +57,12 @@
         let mut targets = self.targets.borrow_mut();
         let mut fresh: BTreeMap<MemberName, Listed> = BTreeMap::new();
         for spec in list.targets {
+            // An entry that somebody else wrote, or its target long ago; what is in force lapses unless
+            // the target says something new of itself.
+            if targets.get(&spec.member).is_some_and(|it| it.spec.is_after(&spec)) {
+                log::warn!(member = spec.member.as_str(), beat = spec.beat; "G0757 an entry of a target is older than what it said before");
+                continue;
+            }
             let listed = Listed { spec: Rc::new(spec), gone_at: None };
             fresh.insert(listed.spec.member.clone(), listed);
         }
--- a/crates/gullspar_direct/src/failover.rs
+++ b/crates/gullspar_direct/src/failover.rs
@@ -141,18 +141,18 @@
             Ok(standing) => standing,
             Err(err) => return self.failed("reading the claim", &err.to_string()).await,
         };
-        let before = standing.as_ref().map(|(_, claim)| claim);
+        let before = standing.as_ref().and_then(|it| it.claim.as_ref());
         let Some(candidate) = self.candidate(cause, began, before).await else {
             clock.sleep_until(clock.now() + LOOK_EVERY).await;
             return;
         };
-        if let Some((token, claim)) = &standing {
-            self.group.note_claim(*token, &claim.holder, clock.boot_now());
+        let over = standing.as_ref().map(|it| it.token);
+        if let (Some(token), Some(claim)) = (over, before) {
+            self.group.note_claim(token, &claim.holder, clock.boot_now());
             if !self.may_act() {
                 return;
             }
         }
-        let over = standing.as_ref().map(|(token, _)| *token);
         let claim = Claim {
             holder: self.own.clone(),
             member: candidate.member.clone(),
@@ -209,7 +209,7 @@
                 None
             }
             Err(ClaimError::NoAnswer(_)) => match self.borders.claims.standing(name).await {
-                Ok(Some((token, found))) if found == *claim => Some(token),
+                Ok(Some(found)) if found.claim.as_ref() == Some(claim) => Some(found.token),
                 Ok(_) => None,
                 Err(err) => {
                     self.failed("reading the claim back", &err.to_string()).await;
--- a/crates/gullspar_direct/src/group.rs
+++ b/crates/gullspar_direct/src/group.rs
@@ -9,6 +9,7 @@
 use gullspar_border::BootInstant;
 use gullspar_model::{GroupName, InstanceId, LogPoint, MemberName, Term};
 
+use crate::failover_timing;
 use crate::target::Target;
 use crate::{ClaimBook, FencingToken, GroupView, Reading, Readings, Sighting};
 
@@ -27,6 +28,8 @@
     /// The highest term in which a leader answered.
     newest_term: Cell<Term>,
     leaderless_since: Cell<Instant>,
+    /// When the present leader was first seen to lead.
+    led_since: Cell<Option<BootInstant>>,
     /// Since when no leader answered here, as far as was looked.
     leader_lacking_since: Cell<Option<Instant>>,
     readings: RefCell<Readings>,
@@ -50,6 +53,7 @@
             leader: RefCell::default(),
             newest_term: Cell::new(Term(0)),
             leaderless_since: Cell::new(now),
+            led_since: Cell::new(None),
             leader_lacking_since: Cell::new(None),
             readings: RefCell::default(),
             claims: RefCell::new(ClaimBook::new(lease)),
@@ -159,6 +163,7 @@
         if !same {
             log::info!(group = self.name.as_str(), member = member.as_str(), term = point.term.0; "G0706 a group is led by");
             *self.leader.borrow_mut() = Some(Leader { member: member.clone(), term: point.term });
+            self.led_since.set(Some(begun));
             self.notify();
         }
     }
@@ -196,6 +201,13 @@
         self.claims.borrow_mut()
     }
 
+    /// Whether somebody has set about replacing the present leader.
+    pub(crate) fn is_being_replaced(&self, now: BootInstant) -> bool {
+        let lately = now.minus(failover_timing::TAKES_EFFECT_WITHIN);
+        let since = self.led_since.get().map_or(lately, |it| it.max(lately));
+        self.claims.borrow().acted_after(since)
+    }
+
     /// Notes that `holder` acted with `token` at `at`.
     pub(crate) fn note_claim(&self, token: FencingToken, holder: &InstanceId, at: BootInstant) {
         self.claims().note(token, holder.clone(), at);
--- a/crates/gullspar_direct/src/home_groups.rs
+++ b/crates/gullspar_direct/src/home_groups.rs
@@ -48,27 +48,26 @@
             }
         }
         for spec in targets {
-            let allowance = self.allowance(&spec.group);
-            if allowance.is_none_or(|it| self.is_home(&spec.group, it, &members)) {
-                let holders = allowance.map_or(1, |it| homes::holders(it, &members));
-                self.tend_target(spec, allowance, holders);
+            // Entries come from other writers too; one of a group that the configuration does not name is of
+            // no target to connect to.
+            let Some(allowance) = self.allowance(&spec.group) else { continue };
+            if self.is_home(&spec.group, allowance, &members) {
+                self.tend_target(spec, allowance, homes::holders(allowance, &members));
             }
         }
         self.give_up_groups(&members, now);
     }
 
-    pub(crate) fn tend_target(
-        &self,
-        spec: Rc<TargetSpec>,
-        allowance: Option<Allowance>,
-        holders: usize,
-    ) {
+    pub(crate) fn tend_target(&self, spec: Rc<TargetSpec>, allowance: Allowance, holders: usize) {
         let group = self.group_or_new(&spec.group);
+        if group.target(&spec.member).is_some_and(|it| it.spec().is_started_anew(&spec)) {
+            log::info!(member = spec.member.as_str(), group = spec.group.as_str(); "G0758 a target has started anew");
+            group.remove(&spec.member);
+            group.does_not_lead(&spec.member, self.borders.clock.now());
+        }
         let target = group.target(&spec.member).unwrap_or_else(|| self.new_target(&group, &spec));
         target.admission.set_capacity(statements_at_once(spec.slots, holders));
-        if let Some(allowance) = allowance {
-            target.pool.set_share(connection_share(allowance.connections, holders));
-        }
+        target.pool.set_share(connection_share(allowance.connections, holders));
         if *target.spec() != *spec {
             if spec.leaving && !target.spec().leaving {
                 log::info!(member = spec.member.as_str(), group = spec.group.as_str(); "G0713 a target is leaving");
@@ -160,7 +159,7 @@
     pub(crate) fn give_up_groups(&self, members: &[Member], now: Instant) {
         for group in self.groups() {
             let allowance = self.allowance(&group.name);
-            let home = allowance.is_none_or(|it| self.is_home(&group.name, it, members));
+            let home = allowance.is_some_and(|it| self.is_home(&group.name, it, members));
             match (home, group.given_up_at()) {
                 (true, _) => group.set_given_up_at(None),
                 (false, None) => {
--- a/crates/gullspar_direct/src/lib.rs
+++ b/crates/gullspar_direct/src/lib.rs
@@ -52,7 +52,7 @@
 pub use caller_opening::{serve_caller, serve_relayed_caller};
 pub use catalogue::{Catalogue, GroupLimits, Route, TargetList};
 pub use claim_book::{ClaimBook, ClaimNote};
-pub use claims::{Claim, ClaimError, Claims, FencingToken, PromoteError, Promoter};
+pub use claims::{Claim, ClaimError, Claims, FencingToken, PromoteError, Promoter, StandingClaim};
 pub use directory::Directory;
 pub use freshness::Freshness;
 pub use group::{Group, Leader};
--- a/crates/gullspar_direct/src/peer_table.rs
+++ b/crates/gullspar_direct/src/peer_table.rs
@@ -19,6 +19,12 @@
 /// A view of a group older than this says nothing about its leader any more.
 const VIEW_HOLDS_FOR: Duration = Duration::from_millis(700);
 
+/// A view older than this no longer shows that nobody has decided on another leader.
+///
+/// Beacons come every 200 ms, so that one may get lost. Behind a cut the others need 70 to 300 ms to see that
+/// the leader is out of their reach, and have ordered its successor 400 ms after the cut.
+const VOUCH_HOLDS_FOR: Duration = Duration::from_millis(350);
+
 /// How long a silent instance still counts when majorities are formed.
 ///
 /// A cut-off data centre must not become its own majority within the seconds that cuts usually last;
@@ -176,12 +182,32 @@
         leader: &MemberName,
         now: BootInstant,
     ) -> bool {
+        2 * self.count_seeing(group, leader, now, VIEW_HOLDS_FOR) > self.counted_for(group, now)
+    }
+
+    /// Whether most of the instances that count, this one included, said just now that `leader` leads `group`.
+    ///
+    /// A promotion needs half of them against the leader, so that none has been decided on as of the
+    /// oldest of these views.
+    pub fn vouch_for(&self, group: &GroupName, leader: &MemberName, now: BootInstant) -> bool {
+        let within = VOUCH_HOLDS_FOR + 2 * self.slack.get();
+        let vouching = 1 + self.count_seeing(group, leader, now, within);
+        2 * vouching > self.counted_for(group, now)
+    }
+
+    fn count_seeing(
+        &self,
+        group: &GroupName,
+        leader: &MemberName,
+        now: BootInstant,
+        within: Duration,
+    ) -> usize {
         let sees = |it: &Beacon| {
             let view = it.views.iter().find(|it| it.group == *group)?;
             let leads = view.sighting == Sighting::Leads && view.leader.as_ref() == Some(leader);
             leads.then_some(())
         };
-        2 * self.select(now, VIEW_HOLDS_FOR, sees).len() > self.counted_for(group, now)
+        self.select(now, within, sees).len()
     }
 
     /// Other instances that take work and lately saw `group` led by somebody.
--- a/crates/gullspar_direct/src/placing.rs
+++ b/crates/gullspar_direct/src/placing.rs
@@ -21,6 +21,9 @@
 /// round trip in vain.
 const UNCERTAIN_COST: Duration = Duration::from_millis(3);
 
+/// Time that a statement is expected to take where no target has answered one yet; they take 4 to 80 ms.
+const UNKNOWN_MEAN: Duration = Duration::from_millis(20);
+
 /// Where a read may go and what it needs there.
 pub(crate) struct Wanted<'a> {
     /// The point that a replica must have reached; `None` when only the leader will do.
@@ -34,7 +37,7 @@
 /// The best target for a read, if any can serve it now.
 pub(crate) fn choose(group: &Group, wanted: &Wanted<'_>) -> Option<Rc<Target>> {
     let targets = group.targets();
-    let usual = targets.iter().map(|it| it.mean()).min().unwrap_or_default();
+    let usual = targets.iter().filter_map(|it| it.mean()).min().unwrap_or(UNKNOWN_MEAN);
     let able = |avoided: bool| {
         targets
             .iter()
--- a/crates/gullspar_direct/src/target.rs
+++ b/crates/gullspar_direct/src/target.rs
@@ -27,9 +27,6 @@
 /// Weight of the newest sample in the running mean, as one part in this many.
 const MEAN_WEIGHT: u64 = 8;
 
-/// Time that a statement is expected to take where nothing is known yet.
-const UNKNOWN_MEAN: Duration = Duration::from_millis(20);
-
 /// Time in which half of what was learnt beyond that is forgotten: a replica that was taken to need 800 ms is
 /// asked again after two seconds, while replicas lag for five to ten.
 const SLOWNESS_HALVES_EVERY: Duration = Duration::from_millis(500);
@@ -46,8 +43,8 @@
     misses: Cell<u32>,
     heard: Cell<Option<BootInstant>>,
     in_flight: Cell<u32>,
-    /// Running mean of what statements took, and when it was last learnt.
-    mean_us: Cell<u64>,
+    /// Running mean of what statements took, and when it was last learnt; `None` until one was answered.
+    mean_us: Cell<Option<u64>>,
     learnt_at: Cell<Instant>,
     avoid_until: Cell<Option<Instant>>,
     behind: Cell<Option<(LogPoint, Instant)>>,
@@ -75,7 +72,7 @@
             misses: Cell::new(0),
             heard: Cell::new(None),
             in_flight: Cell::new(0),
-            mean_us: Cell::new(UNKNOWN_MEAN.as_micros() as u64),
+            mean_us: Cell::new(None),
             learnt_at: Cell::new(borders.clock.now()),
             avoid_until: Cell::new(None),
             behind: Cell::new(None),
@@ -174,15 +171,15 @@
 
     /// A statement took this long.
     pub(crate) fn learn(&self, took: Duration) {
-        let mean = self.mean_us.get();
         let sample = took.as_micros() as u64;
-        self.mean_us.set((mean * (MEAN_WEIGHT - 1) + sample) / MEAN_WEIGHT);
+        let mean = self.mean_us.get().unwrap_or(sample);
+        self.mean_us.set(Some((mean * (MEAN_WEIGHT - 1) + sample) / MEAN_WEIGHT));
         self.learnt_at.set(self.clock.now());
     }
 
-    /// What a statement took here of late.
-    pub(crate) fn mean(&self) -> Duration {
-        Duration::from_micros(self.mean_us.get())
+    /// What a statement took here of late; `None` before the first.
+    pub(crate) fn mean(&self) -> Option<Duration> {
+        self.mean_us.get().map(Duration::from_micros)
     }
 
     /// What a statement takes here, where others of the group need `usual`.
@@ -191,7 +188,8 @@
     /// to show that it is fast again. Two replicas that had lagged for ten seconds were asked for 8 reads
     /// a second instead of 110 for the rest of the day, and their leader refused a tenth of its callers.
     fn mean_against(&self, usual: Duration) -> Duration {
-        let mean = self.mean();
+        // One that has just started is taken to be like the others; it gets work and shows what it takes.
+        let mean = self.mean().unwrap_or(usual);
         let passed = self.clock.now().saturating_duration_since(self.learnt_at.get());
         let halvings = passed.as_millis() / SLOWNESS_HALVES_EVERY.as_millis();
         let beyond = mean.saturating_sub(usual);
--- a/crates/gullspar_direct/src/transaction.rs
+++ b/crates/gullspar_direct/src/transaction.rs
@@ -94,6 +94,13 @@
             self.roll_back();
             return Ended::refused(failure);
         }
+        if self.wrote && !proxy.can_confirm(&self.group) {
+            // Committed, it could not be told to have succeeded; rolled back, the caller may try elsewhere.
+            let failure = refusal::rolled_back("the leader may be about to be replaced");
+            log::info!(request = req.id.as_str(), group = self.group.name.as_str(), reason = failure.text.as_str(); "G0726 a transaction is refused");
+            self.roll_back();
+            return Ended::refused(failure);
+        }
         let mut answer = if self.begun {
             self.go_on(proxy, req).await
         } else {
--- a/crates/gullspar_direct/src/write_path.rs
+++ b/crates/gullspar_direct/src/write_path.rs
@@ -30,6 +30,11 @@
         let mut last = NotRun::NoPrimary;
         while clock.now() < req.deadline {
             let Some(target) = self.leader_before(group, req).await else { break };
+            if !self.can_confirm(group) {
+                // Its success could not be told; a caller's next try may meet an instance that can.
+                last = NotRun::NoPrimary;
+                break;
+            }
             let place = Place { target: Rc::clone(&target), at_least: None, reading_age: None };
             place.note(trace);
             match self.try_write(group, req, target).await {
--- a/crates/gullspar_direct/tests/failover.rs
+++ b/crates/gullspar_direct/tests/failover.rs
@@ -266,3 +266,57 @@
         assert_eq!(by_minority.filter(|it| minority.contains(&it.holder)).count(), 0);
     });
 }
+
+/// Symptom: reads of the latest data lack bookings that were confirmed, 37 of them within 0.3 s of a failover.
+/// Events: a data centre is cut off with the leader; the others see it dark and order another one, which takes
+/// 600 ms to show; meanwhile the instance behind the cut sends writes to the old leader, which leads until
+/// then, and confirms them by its word alone.
+/// Cause: where no replica was in reach, nobody was asked whether a promotion might be under way.
+#[test]
+fn behind_a_cut_no_write_is_confirmed_by_the_leader_alone_once_another_is_ordered() {
+    run(async {
+        let world = World::new();
+        world.promoter.takes_ms.set(600);
+        let proxies = world.instances(3).await;
+        let caller = world.caller(&proxies[0], LATEST).await;
+        caller.done("WRITE before cut").await;
+        world.network.cut(1);
+        world.group.set(0, Fault::DarkTo(2));
+        world.group.set(0, Fault::DarkTo(3));
+        for replica in [1, 2] {
+            world.group.set(replica, Fault::DarkTo(1));
+            world.group.set(replica, Fault::Deaf);
+        }
+        let mut sent_after_the_order = 0;
+        for number in 0..200 {
+            let ordered = !world.promoter.orders().is_empty();
+            let caller = world.caller(&proxies[0], LATEST).await;
+            let answer = caller.say(&format!("WRITE slot-{number} mine")).await;
+            sent_after_the_order += u32::from(ordered);
+            assert!(!ordered || answer.result.is_err(), "write {number} was confirmed");
+            if world.group.leader() != Some("m0".into()) {
+                break;
+            }
+            pause(10).await;
+        }
+        assert!(sent_after_the_order > 0, "no write came between the order and its effect");
+    });
+}
+
+/// Symptom: a group stays without a leader for ever.
+/// Events: another writer puts something into the store where the group's claim belongs; the leader fails.
+/// Cause: what was no claim could neither be read nor claimed over.
+#[test]
+fn what_is_no_claim_is_claimed_over() {
+    run(async {
+        let world = World::new();
+        let garbage = world.claims.put_garbage();
+        let _proxies = world.instances(2).await;
+        world.group.set(0, Fault::Dark);
+        until(REPLACED_WITHIN, "another member leads", || {
+            world.group.leader() != Some("m0".into())
+        })
+        .await;
+        assert!(world.promoter.orders()[0].token > garbage);
+    });
+}
--- a/crates/gullspar_direct/tests/knowledge.rs
+++ b/crates/gullspar_direct/tests/knowledge.rs
@@ -9,6 +9,7 @@
     Ballot, ClaimBook, ClaimNote, Directory, FencingToken, Reading, Readings, TargetList, Verdict,
 };
 use gullspar_model::LogPoint;
+use gullspar_statement::TargetSpec;
 use support::{FakeGroup, GROUP, World, catalogue, pause, run, until};
 use test_case::test_case;
 
@@ -97,6 +98,33 @@
     assert_eq!(directory.targets().len(), 1);
 }
 
+/// Symptom: a target that started again is taken for what it was before.
+/// Events: it registers under the name that it had, with a count that begins anew; what it wrote before its
+/// end arrives after that, or another writer puts an old entry back.
+/// Cause: the last write was taken for the newest word of the target.
+#[test]
+fn of_two_entries_of_one_target_the_later_start_counts_and_then_the_later_beat() {
+    let directory = Directory::default();
+    let now = Instant::now();
+    let mut revision = 0;
+    let mut list = |started_ms: Option<u64>, beat: u64, slots: u32, now: Instant| {
+        revision += 1;
+        let mut targets = FakeGroup::new(GROUP, 1).specs();
+        targets[0] = TargetSpec { started_ms, beat, slots, ..targets[0].clone() };
+        directory.apply_targets(TargetList { revision, targets }, now);
+        directory.drop_lapsed(now);
+        directory.targets().first().map(|it| it.slots)
+    };
+    assert_eq!(list(Some(1000), 7, 1, now), Some(1));
+    assert_eq!(list(Some(1000), 6, 2, now), Some(1), "an older beat");
+    assert_eq!(list(Some(2000), 1, 3, now), Some(3), "a later start counts from the beginning");
+    assert_eq!(list(Some(1000), 9, 4, now), Some(3), "an earlier start");
+    let lapsed = now + Duration::from_secs(3);
+    assert_eq!(list(Some(1000), 9, 4, lapsed), None, "the target itself says nothing any more");
+    assert_eq!(list(None, 5, 5, lapsed), Some(5));
+    assert_eq!(list(None, 1, 6, lapsed), Some(6), "without a start a lower beat tells nothing");
+}
+
 #[test]
 fn an_older_list_of_targets_changes_nothing() {
     let directory = Directory::default();
--- /dev/null
+++ b/crates/gullspar_direct/tests/started_anew.rs
@@ -0,0 +1,135 @@
+//! Targets that start again under the name that they had and know nothing of before.
+
+#![allow(clippy::unwrap_used, reason = "a test that can't go on must fail")]
+
+mod support;
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use gullspar_direct::{Catalogue, GroupLimits, Proxy, TargetList};
+use gullspar_model::GroupName;
+use gullspar_statement::FailureCode;
+use support::{BOUNDED, Fault, LATEST, OWN, World, catalogue, leader_of, pause, run, until};
+
+async fn settled() -> (World, Rc<Proxy>) {
+    let world = World::new();
+    let proxy = world.instance(1);
+    world.settle(&proxy).await;
+    (world, proxy)
+}
+
+/// Symptom: replicas that have just been started get no reads for seconds, and their leader has too many.
+/// Events: two replicas answer slowly, are restarted and are fast again.
+/// Cause: what was learnt of their statements before was held against them.
+#[test]
+fn slowness_before_the_start_is_not_held_against_a_target() {
+    run(async {
+        let (world, proxy) = settled().await;
+        let caller = world.caller(&proxy, BOUNDED).await;
+        for member in [1, 2] {
+            world.group.set(member, Fault::Slow(250));
+        }
+        let leader = world.group.leader().unwrap();
+        let on_leader = || world.group.ran().last().is_some_and(|it| it.member == leader);
+        let started = Instant::now();
+        while started.elapsed() < Duration::from_secs(3) || !on_leader() {
+            caller.done("READ slot").await;
+        }
+        for member in [1, 2] {
+            world.group.start_anew(member);
+            world.group.mend(member);
+        }
+        world.list_targets(&proxy, 2);
+        pause(50).await;
+        caller.done("READ slot").await;
+        assert!(!on_leader(), "a replica that has just started serves reads at once");
+    });
+}
+
+/// Symptom: writes go to a member that leads no more and are refused one by one.
+/// Events: a leader starts again as a replica.
+/// Cause: it was taken to lead until it refused.
+#[test]
+fn a_leader_that_started_anew_leads_only_once_it_says_so() {
+    run(async {
+        let (world, proxy) = settled().await;
+        world.group.set(0, Fault::Dark);
+        world.group.start_anew(0);
+        world.list_targets(&proxy, 2);
+        until(100, "nobody is known to lead", || leader_of(&proxy).is_none()).await;
+        world.group.promote(&"m1".into());
+        world.group.mend(0);
+        until(1000, "the new leader is known", || leader_of(&proxy) == Some("m1".into())).await;
+        world.caller(&proxy, LATEST).await.done("WRITE slot mine").await;
+    });
+}
+
+/// Symptom: a caller's prepared statement is unknown, or its values are missing.
+/// Events: its connection is used again after the target has started anew.
+/// Cause: connections of the earlier start were kept.
+#[test]
+fn connections_to_the_earlier_start_are_not_used() {
+    run(async {
+        let (world, proxy) = settled().await;
+        let caller = world.caller(&proxy, OWN).await;
+        caller.done("PREPARE p READ q").await;
+        caller.done("SET zone a").await;
+        caller.done("EXECUTE p slot").await;
+        let before: Vec<u64> = world.group.ran().iter().map(|it| it.connection).collect();
+        for member in 0..3 {
+            world.group.start_anew(member);
+        }
+        world.group.mend(0);
+        world.list_targets(&proxy, 2);
+        pause(100).await;
+        caller.done("EXECUTE p slot").await;
+        let after = world.group.ran().last().cloned().unwrap();
+        assert!(!before.contains(&after.connection));
+        assert_eq!(after.values, ["zone=a"]);
+    });
+}
+
+/// Symptom: a leader that lost its log is believed to hold what it was asked to write before.
+/// Events: it commits; no replica hears of it; it starts anew with an empty log and leads still.
+/// Cause: only whether it leads was asked, not what its log holds.
+#[test]
+fn a_leader_that_lost_its_log_does_not_stand_for_the_commit() {
+    run(async {
+        let (world, proxy) = settled().await;
+        let caller = world.caller(&proxy, LATEST).await;
+        caller.done("WRITE slot first").await;
+        world.group.set(1, Fault::Deaf);
+        world.group.set(2, Fault::Deaf);
+        caller.begin_to_say("WRITE slot mine");
+        pause(15).await;
+        world.group.lose_log(0);
+        world.list_targets(&proxy, 2);
+        let answer = caller.next().await.unwrap();
+        assert_eq!(answer.result.unwrap_err().code, FailureCode::Unknown);
+    });
+}
+
+/// Symptom: an instance connects to whatever address somebody wrote into the store.
+/// Events: an entry names a group that the configuration does not know.
+/// Cause: a group without limits was served like any other.
+#[test]
+fn a_target_of_a_group_that_is_not_configured_is_not_connected_to() {
+    run(async {
+        let (world, proxy) = settled().await;
+        let mut targets = world.group.specs();
+        targets[1].group = "nobody's".into();
+        proxy.directory.apply_targets(TargetList { revision: 2, targets }, world.clock.now());
+        pause(50).await;
+        assert!(proxy.group(&"nobody's".into()).is_none());
+        assert_eq!(world.group.connections(1), 0);
+        // Once it is configured, its targets are used.
+        let known: Catalogue = catalogue(2);
+        let limits = GroupLimits { connections: 60 };
+        let groups = known.groups.into_iter().chain([(GroupName::new("nobody's"), limits)]);
+        proxy.directory.apply_catalogue(Catalogue { groups: groups.collect(), ..known });
+        pause(200).await;
+        assert!(proxy.group(&"nobody's".into()).is_some());
+        let _ = world.caller(&proxy, BOUNDED).await;
+    });
+}
--- a/crates/gullspar_direct/tests/support/fake_group.rs
+++ b/crates/gullspar_direct/tests/support/fake_group.rs
@@ -55,6 +55,8 @@
     faults: RefCell<BTreeSet<Fault>>,
     leaving: Cell<bool>,
     connections: Cell<u32>,
+    /// When its process started.
+    started_ms: Cell<u64>,
 }
 
 /// The group.
@@ -84,6 +86,7 @@
                 faults: RefCell::default(),
                 leaving: Cell::new(false),
                 connections: Cell::new(0),
+                started_ms: Cell::new(1_000),
             })
         };
         Rc::new(FakeGroup {
@@ -112,6 +115,8 @@
             data_centre: "dc-1".into(),
             slots: 4,
             leaving: member.leaving.get(),
+            started_ms: Some(member.started_ms.get()),
+            beat: 1,
         };
         self.members.iter().enumerate().map(spec).collect()
     }
@@ -132,6 +137,21 @@
         self.members[member].leaving.set(true);
     }
 
+    /// Has a member start anew under its name, deaf, with an empty log.
+    pub fn start_anew(&self, member: usize) {
+        let member = &self.members[member];
+        member.started_ms.set(member.started_ms.get() + 1);
+        member.has.set(0);
+        member.faults.borrow_mut().insert(Fault::Deaf);
+    }
+
+    /// Has the leader start anew with an empty log, leading all the same.
+    pub fn lose_log(&self, member: usize) {
+        let started_ms = &self.members[member].started_ms;
+        started_ms.set(started_ms.get() + 1);
+        self.commits.set(0);
+    }
+
     /// Makes `name` the leader of the next term with the commits that it has.
     pub fn promote(&self, name: &MemberName) {
         let at = self.members.iter().position(|it| it.name == *name).unwrap();
