Let an instance that starts behind a cut refuse at once and stay out of rotation

Cause: an instance restarted behind a cut had heard only its neighbour and took the two of them for all instances.

Change: it is ready only once half of its groups have a leader in reach (nothing can be served without one), and instances tell each other how many they have counted, with the age of the count, so that a neighbour's memory tells it that it is cut off.

Ruled out by logs: the balancer's two questions (those instances were not refusing them), the store being away (other data centres serve).

--- a/crates/gullspar_direct/src/beacon.rs
+++ b/crates/gullspar_direct/src/beacon.rs
@@ -4,7 +4,7 @@
 
 use gullspar_model::{DataCentre, GroupName, InstanceId, MemberName, record};
 
-use crate::ClaimNote;
+use crate::{ClaimNote, CountNote};
 
 record! {
     /// How an instance sees the leader of a group.
@@ -47,6 +47,8 @@
         /// Whether the sender reached the platform's store lately.
         pub reaches_store: bool,
         pub views: Vec<GroupView>,
+        /// The most instances that the sender knows of.
+        pub counted: CountNote,
         /// Addresses of some instances that the sender heard lately, others each time.
         pub known: Vec<SocketAddr>,
     }
--- a/crates/gullspar_direct/src/cut_off.rs
+++ b/crates/gullspar_direct/src/cut_off.rs
@@ -34,6 +34,26 @@
         lost > 0 && 2 * lost >= groups.len()
     }
 
+    /// Whether this instance has been able to serve callers since its start.
+    ///
+    /// Without a leader in reach nothing can be served, since how old the data of a replica is follows from what a
+    /// leader said. An instance that starts behind a cut would draw a share of its data centre's callers and
+    /// refuse them all; while it is not ready, they go to other data centres.
+    pub(crate) fn has_been_useful(&self) -> bool {
+        if self.useful.get() {
+            return true;
+        }
+        let groups = self.groups();
+        let led = groups.iter().filter(|it| it.working_leader().is_some()).count();
+        let useful = match groups.is_empty() {
+            // It hands all sessions on.
+            true => !self.peers.alive(self.borders.clock.boot_now()).is_empty(),
+            false => 2 * led >= groups.len(),
+        };
+        self.useful.set(useful);
+        useful
+    }
+
     /// Sends callers away while this instance is cut off, or around a leader that only it can't reach.
     pub(crate) async fn judge_itself(self: Rc<Self>) {
         let clock = Rc::clone(&self.borders.clock);
--- a/crates/gullspar_direct/src/membership.rs
+++ b/crates/gullspar_direct/src/membership.rs
@@ -101,6 +101,7 @@
             target_revision: self.directory.target_revision(),
             reaches_store: self.reaches_store(),
             views,
+            counted: self.peers.count_to_tell(boot_now),
             known,
         }
     }
--- a/crates/gullspar_direct/src/peer_table.rs
+++ b/crates/gullspar_direct/src/peer_table.rs
@@ -8,7 +8,7 @@
 use gullspar_border::BootInstant;
 use gullspar_model::{GroupName, InstanceId, MemberName};
 
-use crate::{Beacon, Member, Sighting};
+use crate::{Beacon, CountNote, Member, Sighting};
 
 /// An instance heard within this time is alive: five beacons in a row may get lost.
 const ALIVE_FOR: Duration = Duration::from_millis(1200);
@@ -37,6 +37,13 @@
 /// that are there. A cut lasts seconds.
 const CONTACT_FOR: Duration = Duration::from_secs(60);
 
+/// How many instances there were, as others told.
+#[derive(Clone, Copy)]
+struct Told {
+    instances: usize,
+    at: BootInstant,
+}
+
 struct Heard {
     beacon: Beacon,
     at: BootInstant,
@@ -49,6 +56,7 @@
     /// Addresses that were named somewhere, with the time until which they are told although they are
     /// silent; `None` for those of the settings, which are told for ever.
     contacts: RefCell<BTreeMap<SocketAddr, Option<BootInstant>>>,
+    told: Cell<Option<Told>>,
     /// How much longer than a beacon's usual pause an instance may be silent, because all are too many to
     /// be told each time.
     slack: Cell<Duration>,
@@ -71,9 +79,35 @@
         if let Some(Some(until)) = self.contacts.borrow_mut().get_mut(&beacon.address) {
             *until = now.plus(CONTACT_FOR);
         }
+        self.take_count(beacon.counted, now);
         self.heard.borrow_mut().insert(beacon.from.clone(), Heard { beacon, at: now });
     }
 
+    fn take_count(&self, note: CountNote, now: BootInstant) {
+        let at = now.minus(Duration::from_millis(note.age_ms));
+        let instances = note.instances as usize;
+        let known = self.told(now).map_or(0, |it| it.instances);
+        if instances >= known && now.since(at) < COUNTS_FOR {
+            self.told.set(Some(Told { instances, at }));
+        }
+    }
+
+    fn told(&self, now: BootInstant) -> Option<Told> {
+        self.told.get().filter(|it| now.since(it.at) < COUNTS_FOR)
+    }
+
+    /// The most instances that are known of, for others.
+    pub fn count_to_tell(&self, now: BootInstant) -> CountNote {
+        let heard = self.counted_here(now);
+        match self.told(now).filter(|it| it.instances > heard) {
+            Some(told) => CountNote {
+                instances: told.instances as u32,
+                age_ms: now.since(told.at).as_millis() as u64,
+            },
+            None => CountNote { instances: heard as u32, age_ms: 0 },
+        }
+    }
+
     /// Adds an address where an instance may be.
     pub fn add_contact(&self, address: SocketAddr, now: BootInstant) {
         let until = Some(now.plus(CONTACT_FOR));
@@ -153,8 +187,12 @@
         self.select(now, self.alive_for(), |it| Some(it.from.clone()))
     }
 
-    /// Instances that count, this one included.
+    /// Instances that count, this one included, by what was heard here and what others told.
     pub fn counted(&self, now: BootInstant) -> usize {
+        self.counted_here(now).max(self.told(now).map_or(0, |it| it.instances))
+    }
+
+    fn counted_here(&self, now: BootInstant) -> usize {
         1 + self.select(now, COUNTS_FOR, |it| (!it.leaving).then_some(())).len()
     }
 
--- a/crates/gullspar_direct/src/proxy.rs
+++ b/crates/gullspar_direct/src/proxy.rs
@@ -1,6 +1,6 @@
 //! An instance's view of all groups, and the work that keeps it.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -51,6 +51,8 @@
     pub(crate) held: RefCell<BTreeMap<GroupName, Instant>>,
     pub(crate) store_heard: RefCell<Option<BootInstant>>,
     pub(crate) started: Instant,
+    /// It has been able to serve callers.
+    pub(crate) useful: Cell<bool>,
 }
 
 impl Proxy {
@@ -69,6 +71,7 @@
             held: RefCell::default(),
             store_heard: RefCell::new(None),
             started,
+            useful: Cell::new(false),
         })
     }
 
@@ -96,6 +99,7 @@
             && self.census.is_taken()
             && self.shutdown.phase() == Phase::Serving
             && self.shutdown.cut_off() == CutOff::No
+            && self.has_been_useful()
     }
 
     /// The group `name`, if any target of it is there.
--- /dev/null
+++ b/crates/gullspar_direct/tests/start_behind_a_cut.rs
@@ -0,0 +1,86 @@
+//! Instances that start where they can't serve.
+
+#![allow(clippy::unwrap_used, reason = "a test that can't go on must fail")]
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use gullspar_border::BootInstant;
+use gullspar_direct::{CountNote, PeerTable};
+use gullspar_statement::FailureCode;
+use support::{Fault, LATEST, World, pause, run, until};
+
+/// The time in which an instance that has just started hears of its neighbours, in milliseconds.
+const HEARD_WITHIN: u64 = 600;
+
+/// What a refusal at once may take on a busy machine.
+const AT_ONCE: Duration = Duration::from_millis(300);
+
+/// Symptom: 290 of 310 callers of a data centre get no answer within two seconds, and others come in their place.
+/// Events: the data centre is cut off; an instance there is restarted behind the cut; its neighbour was there
+/// before.
+/// Cause: the one that started took the two of them for all: it called itself ready, and kept callers waiting for
+/// leaders that it could not reach.
+#[test]
+fn an_instance_that_starts_behind_a_cut_is_not_ready_and_refuses_at_once() {
+    run(async {
+        let world = World::new();
+        let proxies = world.instances(4).await;
+        world.network.cut_between(&[1, 5], &[2, 3, 4]);
+        for member in 0..3 {
+            world.group.set(member, Fault::DarkTo(1));
+            world.group.set(member, Fault::DarkTo(5));
+        }
+        until(3000, "its neighbour is not ready", || !proxies[0].is_ready()).await;
+        let started = world.instance(5);
+        pause(HEARD_WITHIN).await;
+        assert!(!started.is_ready());
+        let caller = world.caller(&started, LATEST).await;
+        let asked = Instant::now();
+        assert_eq!(caller.refused("WRITE slot mine").await, FailureCode::Congested);
+        assert!(asked.elapsed() < AT_ONCE, "refused after {:?}", asked.elapsed());
+        world.network.heal();
+        (0..3).for_each(|it| world.group.mend(it));
+        until(3000, "both are ready", || started.is_ready() && proxies[0].is_ready()).await;
+        world.caller(&started, LATEST).await.done("WRITE slot mine").await;
+    });
+}
+
+/// Symptom: callers are sent to an instance that has just started and are refused, while others could serve them.
+/// Cause: with a configuration and a list of targets it called itself ready, whether a leader was in reach or not.
+#[test]
+fn an_instance_that_has_reached_no_leader_is_not_ready() {
+    run(async {
+        let world = World::new();
+        (0..3).for_each(|it| world.group.set(it, Fault::DarkTo(1)));
+        let proxy = world.instance(1);
+        pause(HEARD_WITHIN).await;
+        assert!(!proxy.is_ready());
+        (0..3).for_each(|it| world.group.mend(it));
+        until(3000, "it is ready", || proxy.is_ready()).await;
+        // Once it was, a leader that fails for everybody does not make it unready.
+        world.group.set(0, Fault::Dark);
+        pause(500).await;
+        assert!(proxy.is_ready());
+    });
+}
+
+/// A count that is passed on between two instances gets no younger, so that instances that are gone for good
+/// stop counting.
+#[test]
+fn a_count_that_is_passed_on_grows_old() {
+    let at = |s: u64| BootInstant(1_000_000_000 + s * 1_000_000);
+    let table = PeerTable::new([]);
+    let other = PeerTable::new([]);
+    let beacon = |from: &PeerTable, now| support::beacon(9, from.count_to_tell(now));
+    table.take(support::beacon(8, CountNote { instances: 9, age_ms: 1000 }), at(0));
+    assert_eq!(table.counted(at(0)), 9);
+    for second in 1..20 {
+        other.take(beacon(&table, at(second)), at(second));
+        table.take(beacon(&other, at(second)), at(second));
+    }
+    // Instance 8 was heard here, and counted until 15 s had passed.
+    assert!(other.counted(at(20)) <= 3, "{}", other.counted(at(20)));
+    assert!(table.counted(at(20)) <= 3, "{}", table.counted(at(20)));
+}
