Order a promotion again at once when no answer comes, and count no one against a leader that has just started

Cause: an order without an answer was waited for 0.8 s and then for 1.8 s more, as if it had been carried out; where calls get no answer, a group had no leader for 2.7 s longer than needed. The same token is used again at once: twice carried out it changes nothing, and late it is void once a higher token was used. And writes in the first second after a power loss ended as unknown, since instances that had not looked long enough did not vouch for a leader; they have no say against it either.

Ruled out: a higher token at once (it makes the late order void, which may be the first to be carried out).

--- a/crates/gullspar_direct/src/failover.rs
+++ b/crates/gullspar_direct/src/failover.rs
@@ -9,8 +9,8 @@
 use gullspar_statement::TargetCommand;
 
 use crate::failover_timing::{
-    ASK_WITHIN, CATCH_UP_WITHIN, FAILED_PAUSE, LEADERLESS_FOR, LOOK_EVERY, TAKES_EFFECT_WITHIN,
-    TURN,
+    ASK_WITHIN, CATCH_UP_WITHIN, FAILED_PAUSE, LEADERLESS_FOR, LOOK_EVERY, ORDER_TRIES,
+    TAKES_EFFECT_WITHIN, TURN,
 };
 use crate::group::Group;
 use crate::homes;
@@ -166,7 +166,7 @@
             return;
         }
         self.group.note_claim(token, &self.own, clock.boot_now());
-        let ordered = self.borders.promoter.promote(&self.group.name, &claim, token).await;
+        let ordered = self.order(&claim, token).await;
         self.group.note_claim(token, &self.own, clock.boot_now());
         match ordered {
             Ok(()) => {
@@ -188,6 +188,25 @@
         }
     }
 
+    /// Orders the promotion, again with the same token while no answer comes.
+    ///
+    /// Twice carried out it changes nothing, and one that is carried out seconds late is void once a higher token
+    /// was used. Waited for in vain, a lost order left its group without a leader for 2.7 s more: 1.8 s in which it
+    /// might yet have shown, and the next claim.
+    async fn order(&self, claim: &Claim, token: FencingToken) -> Result<(), PromoteError> {
+        let mut tries = 1;
+        loop {
+            let ordered = self.borders.promoter.promote(&self.group.name, claim, token).await;
+            let Err(PromoteError::NoAnswer(reason)) = &ordered else { return ordered };
+            // The leader may show, or another instance may act, in the meantime.
+            if tries == ORDER_TRIES || self.cause().is_none() || !self.may_act() {
+                return ordered;
+            }
+            log::info!(group = self.group.name.as_str(), token = token.0, reason = reason.as_str(), tries = tries; "G0759 a promotion that was not answered is ordered again");
+            tries += 1;
+        }
+    }
+
     /// Counts the commits that the old leader acknowledged and its successor was not seen to have.
     fn count_rolled_back(&self, candidate: &Candidate) {
         let (Some(had), Some(has)) = (self.group.newest_reading(), candidate.point) else { return };
--- a/crates/gullspar_direct/src/failover_timing.rs
+++ b/crates/gullspar_direct/src/failover_timing.rs
@@ -20,6 +20,10 @@
 /// Members take 600 to 1,000 ms to lead; the rest is the way of the order and of the next check.
 pub(crate) const TAKES_EFFECT_WITHIN: Duration = Duration::from_millis(1800);
 
+/// Times that a promotion is ordered in a row with one token while no answer comes: of a platform that loses
+/// half of the answers, one in sixteen loses all.
+pub(crate) const ORDER_TRIES: u32 = 4;
+
 /// Pause after the store or the platform failed to answer.
 pub(crate) const FAILED_PAUSE: Duration = Duration::from_millis(250);
 
--- a/crates/gullspar_direct/src/peer_table.rs
+++ b/crates/gullspar_direct/src/peer_table.rs
@@ -220,11 +220,16 @@
         leader: &MemberName,
         now: BootInstant,
     ) -> bool {
-        2 * self.count_seeing(group, leader, now, VIEW_HOLDS_FOR) > self.counted_for(group, now)
+        let sees = |it: &Beacon| {
+            let view = it.views.iter().find(|it| it.group == *group)?;
+            let leads = view.sighting == Sighting::Leads && view.leader.as_ref() == Some(leader);
+            leads.then_some(())
+        };
+        2 * self.select(now, VIEW_HOLDS_FOR, sees).len() > self.counted_for(group, now)
     }
 
-    /// Whether most of the instances that count, this one included, have said since `since` that `leader` leads
-    /// `group`.
+    /// Whether most of the instances that count, this one included, have spoken since `since` and not against
+    /// `leader` of `group`.
     ///
     /// A promotion needs half of them against the leader, so that none had been decided on as of `since`.
     pub fn vouch_for(
@@ -235,23 +240,18 @@
         now: BootInstant,
     ) -> bool {
         let limit = VOUCH_HOLDS_FOR + 2 * self.slack.get();
-        let vouching = 1 + self.count_seeing(group, leader, now, now.since(since).min(limit));
-        2 * vouching > self.counted_for(group, now)
-    }
-
-    fn count_seeing(
-        &self,
-        group: &GroupName,
-        leader: &MemberName,
-        now: BootInstant,
-        within: Duration,
-    ) -> usize {
-        let sees = |it: &Beacon| {
+        let vouches = |it: &Beacon| {
             let view = it.views.iter().find(|it| it.group == *group)?;
-            let leads = view.sighting == Sighting::Leads && view.leader.as_ref() == Some(leader);
-            leads.then_some(())
+            let not_against = match view.sighting {
+                Sighting::Leads => view.leader.as_ref() == Some(leader),
+                // One that has just started has no say yet.
+                Sighting::Unsure => true,
+                Sighting::Dark | Sighting::NoLeader => false,
+            };
+            not_against.then_some(())
         };
-        self.select(now, within, sees).len()
+        let vouching = 1 + self.select(now, now.since(since).min(limit), vouches).len();
+        2 * vouching > self.counted_for(group, now)
     }
 
     /// Other instances that take work and lately saw `group` led by somebody.
