Let places rest while a target is crowded

Hypothesis: nine instances with one place each put nine statements before a leader's three slots, where each waits two rounds in a queue that knows no priority, those of open transactions included. With a fair part of half a place, kept by resting after each statement while the target's answers are twice as slow as the fastest of its group, they wait in the instances, by priority and objective.

--- a/crates/gullspar_direct/src/attempt.rs
+++ b/crates/gullspar_direct/src/attempt.rs
@@ -166,7 +166,8 @@
             futures::pin_mut!(exchange);
             let free_at = (started + PLACE_HELD_FOR).min(req.deadline);
             let soon = within(&**clock, free_at, &mut exchange).await;
-            drop(permit);
+            let taken = clock.now().saturating_duration_since(started);
+            self.target.free_place(permit, taken, self.group.usual_mean());
             match soon {
                 Ok(result) => Ok(result),
                 Err(DeadlinePassed) => within(&**clock, req.deadline, exchange).await,
--- a/crates/gullspar_direct/src/group.rs
+++ b/crates/gullspar_direct/src/group.rs
@@ -90,6 +90,11 @@
         self.targets.borrow().values().cloned().collect()
     }
 
+    /// What a statement takes of late on the fastest of the group's targets, if any has answered one.
+    pub(crate) fn usual_mean(&self) -> Option<Duration> {
+        self.targets.borrow().values().filter_map(|it| it.mean()).min()
+    }
+
     /// Who leads.
     pub fn leader(&self) -> Option<Leader> {
         self.leader.borrow().clone()
--- a/crates/gullspar_direct/src/home_groups.rs
+++ b/crates/gullspar_direct/src/home_groups.rs
@@ -6,7 +6,7 @@
 use gullspar_model::{GroupName, InstanceId};
 use gullspar_statement::TargetSpec;
 
-use crate::admission_limit::{connection_share, statements_at_once};
+use crate::admission_limit::connection_share;
 use crate::failover;
 use crate::group::Group;
 use crate::homes::{self, Allowance};
@@ -14,7 +14,7 @@
 use crate::stats::Levels;
 use crate::target::Target;
 use crate::target_watch;
-use crate::{CutOff, Member, Proxy};
+use crate::{CutOff, Member, Proxy, pacing};
 
 /// How long a group is served for a session that was handed on to an instance that is not its home.
 const HOLD_FOR: Duration = Duration::from_secs(10);
@@ -66,7 +66,7 @@
             group.does_not_lead(&spec.member, self.borders.clock.now());
         }
         let target = group.target(&spec.member).unwrap_or_else(|| self.new_target(&group, &spec));
-        target.admission.set_capacity(statements_at_once(spec.slots, holders));
+        target.set_share(pacing::Share::of(spec.slots, holders));
         target.pool.set_share(connection_share(allowance.connections, holders));
         if *target.spec() != *spec {
             if spec.leaving && !target.spec().leaving {
--- a/crates/gullspar_direct/src/lib.rs
+++ b/crates/gullspar_direct/src/lib.rs
@@ -27,6 +27,7 @@
 mod homes;
 mod member;
 mod membership;
+mod pacing;
 mod peer_table;
 mod placing;
 mod pooled_connection;
--- /dev/null
+++ b/crates/gullspar_direct/src/pacing.rs
@@ -0,0 +1,66 @@
+//! What part of a target's slots one instance uses, and how it keeps to a part of one.
+//!
+//! With more instances than slots, the fair part of each is less than one statement at a time. Each runs one all
+//! the same, so that an instance with few callers need not wait; but when all have many, nine statements stand
+//! before three slots, in the target's own queue, which knows no priority and no deadline. There each statement of a
+//! transaction waits two rounds, 54 ms in place of 18.
+//!
+//! So while a target is crowded, which its answers show, a place rests after each statement for as long as the part
+//! asks; requests then wait in the instance, where the urgent go first.
+
+use std::time::Duration;
+
+/// How many times the slots all instances together use, in percent: callers are spread unevenly over instances,
+/// so each may use one and a half times its even part, and all together fill the slots and a short queue.
+const OVERCOMMIT_PERCENT: u32 = 150;
+
+/// A target is crowded while its statements take this many percent of what they take on the fastest of its group.
+///
+/// Without a queue they differ by up to a half with the kinds of statements that each gets.
+const CROWDED_PERCENT: u128 = 200;
+
+/// The longest rest after a statement, as a multiple of what it took.
+const MOST_REST: u32 = 3;
+
+/// The part of a target that one instance uses, in hundredths of a statement at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Share {
+    hundredths: u32,
+    slots: u32,
+}
+
+impl Default for Share {
+    fn default() -> Share {
+        Share { hundredths: 100, slots: 1 }
+    }
+}
+
+impl Share {
+    /// The part of a target with `slots` slots for each of `instances`.
+    pub(crate) fn of(slots: u32, instances: usize) -> Share {
+        let instances = instances.max(1) as u32;
+        Share { hundredths: OVERCOMMIT_PERCENT * slots / instances, slots: slots.max(1) }
+    }
+
+    /// Statements at a time, one at least.
+    pub(crate) fn places(self) -> u32 {
+        self.hundredths.div_ceil(100).clamp(1, self.slots)
+    }
+}
+
+/// How long a place rests after a statement that took `taken`, where statements of late took `mean` here and `usual`
+/// on the fastest target of the group.
+pub(crate) fn rest(
+    share: Share,
+    taken: Duration,
+    mean: Option<Duration>,
+    usual: Option<Duration>,
+) -> Duration {
+    let (Some(mean), Some(usual)) = (mean, usual) else { return Duration::ZERO };
+    let crowded = mean.as_micros() * 100 >= usual.as_micros() * CROWDED_PERCENT;
+    let part = share.hundredths.max(1);
+    if !crowded || part >= 100 {
+        return Duration::ZERO;
+    }
+    (taken * (100 - part) / part).min(taken * MOST_REST)
+}
--- a/crates/gullspar_direct/src/target.rs
+++ b/crates/gullspar_direct/src/target.rs
@@ -11,7 +11,7 @@
 
 use crate::connection_pool::ConnectionPool;
 use crate::request::Request;
-use crate::{Borders, Stats};
+use crate::{Borders, Stats, pacing};
 
 /// Checks in a row without an answer after which a target counts as dark.
 ///
@@ -43,6 +43,7 @@
     misses: Cell<u32>,
     heard: Cell<Option<BootInstant>>,
     in_flight: Cell<u32>,
+    share: Cell<pacing::Share>,
     /// Running mean of what statements took, and when it was last learnt; `None` until one was answered.
     mean_us: Cell<Option<u64>>,
     learnt_at: Cell<Instant>,
@@ -72,6 +73,7 @@
             misses: Cell::new(0),
             heard: Cell::new(None),
             in_flight: Cell::new(0),
+            share: Cell::new(pacing::Share::default()),
             mean_us: Cell::new(None),
             learnt_at: Cell::new(borders.clock.now()),
             avoid_until: Cell::new(None),
@@ -163,6 +165,28 @@
         self.behind.get().is_some_and(|(missing, until)| point >= missing && now < until)
     }
 
+    /// Gives a place back after a statement that took `taken`, at once or, while the target is crowded, after
+    /// a rest.
+    pub(crate) fn free_place(&self, permit: Permit, taken: Duration, usual: Option<Duration>) {
+        let rest = pacing::rest(self.share.get(), taken, self.mean(), usual);
+        if rest.is_zero() {
+            return;
+        }
+        let until = self.clock.now() + rest;
+        let clock = Rc::clone(&self.clock);
+        let task = async move {
+            clock.sleep_until(until).await;
+            drop(permit);
+        };
+        compio::runtime::spawn(task).detach();
+    }
+
+    /// Sets what part of the target this instance uses.
+    pub(crate) fn set_share(&self, share: pacing::Share) {
+        self.share.set(share);
+        self.admission.set_capacity(share.places());
+    }
+
     /// A statement begins; it ends when the guard is dropped.
     pub(crate) fn depart(self: &Rc<Self>) -> InFlight {
         self.in_flight.set(self.in_flight.get() + 1);
