Pass over targets that fail what they are asked, and begin reading transactions anew elsewhere

One failure may be the statement's own; where failures prevail, the target is passed over for 0.3 to 4.8 s, and a transaction that only reads begins anew on another one.

--- a/crates/gullspar_direct/src/attempt.rs
+++ b/crates/gullspar_direct/src/attempt.rs
@@ -188,6 +188,10 @@
         let Some(answer) = answers.pop() else { return Err(End::Lost) };
         self.target.note_point(answer.point);
         self.target.heard(clock.boot_now());
+        let failed = answer.result.as_ref().is_err_and(|it| it.code == FailureCode::Failed);
+        if failed || answer.result.is_ok() {
+            self.target.ran(failed, clock.now());
+        }
         if answer.result.is_ok() {
             self.target.learn(clock.now().saturating_duration_since(started));
         }
--- a/crates/gullspar_direct/src/target.rs
+++ b/crates/gullspar_direct/src/target.rs
@@ -21,6 +21,17 @@
 /// How long a target that failed a statement is passed over while others can serve.
 const AVOID_FOR: Duration = Duration::from_millis(300);
 
+/// What a failed statement counts against a target, and a sound one for it: a target that fails a third or more of
+/// what it is asked is passed over by and by.
+const FAILURE_WEIGHT: u32 = 2;
+const SUCCESS_WEIGHT: u32 = 1;
+
+/// From here on a target is passed over: two failures in a row.
+const PASSED_OVER_FROM: u32 = 2 * FAILURE_WEIGHT;
+
+/// The most that counts: four doublings of [`AVOID_FOR`], 4.8 s, in which one read in thousands still meets it.
+const MOST_FAILURES: u32 = PASSED_OVER_FROM + 4 * FAILURE_WEIGHT;
+
 /// How long a replica that was behind a point is not asked for that point again.
 const BEHIND_FOR: Duration = Duration::from_millis(60);
 
@@ -48,6 +59,8 @@
     mean_us: Cell<Option<u64>>,
     learnt_at: Cell<Instant>,
     avoid_until: Cell<Option<Instant>>,
+    /// What statements that failed here count, less those that did not.
+    failures: Cell<u32>,
     behind: Cell<Option<(LogPoint, Instant)>>,
     pub(crate) removed: Cell<bool>,
     /// A write waits for this replica and has it asked.
@@ -77,6 +90,7 @@
             mean_us: Cell::new(None),
             learnt_at: Cell::new(borders.clock.now()),
             avoid_until: Cell::new(None),
+            failures: Cell::new(0),
             behind: Cell::new(None),
             removed: Cell::new(false),
             looking: Cell::new(false),
@@ -149,7 +163,30 @@
 
     /// A statement on it failed in a way that another may not.
     pub(crate) fn avoid(&self, now: Instant) {
-        self.avoid_until.set(Some(now + AVOID_FOR));
+        self.avoid_for(now, AVOID_FOR);
+    }
+
+    fn avoid_for(&self, now: Instant, time: Duration) {
+        self.avoid_until.set(self.avoid_until.get().max(Some(now + time)));
+    }
+
+    /// It ran a statement, and the statement failed or did not.
+    ///
+    /// A target may fail what it is asked, or half of it, and answer each check. Asked for every other read all the
+    /// same, one such replica failed 587 statements in seven seconds of a large fleet. One failure may be the statement's own
+    /// fault; where they prevail the target is passed over, twice as long each time, and the reads that try it
+    /// again show when it is well.
+    pub(crate) fn ran(&self, failed: bool, now: Instant) {
+        if !failed {
+            self.failures.set(self.failures.get().saturating_sub(SUCCESS_WEIGHT));
+            return;
+        }
+        let failures = (self.failures.get() + FAILURE_WEIGHT).min(MOST_FAILURES);
+        self.failures.set(failures);
+        if let Some(beyond) = failures.checked_sub(PASSED_OVER_FROM) {
+            let avoid_for = AVOID_FOR * 2u32.pow(beyond / FAILURE_WEIGHT);
+            self.avoid_for(now, avoid_for);
+        }
     }
 
     pub(crate) fn is_avoided(&self, now: Instant) -> bool {
--- a/crates/gullspar_direct/src/transaction.rs
+++ b/crates/gullspar_direct/src/transaction.rs
@@ -248,8 +248,10 @@
         let result = around.run_raw(req, permit, lease, None).await;
         match result {
             Ok((answer, lease)) => {
+                // A transaction that only reads may begin anew on another target.
+                let failed = answer.result.as_ref().is_err_and(|it| it.code == FailureCode::Failed);
                 let refused = answer.result.as_ref().is_err_and(Failure::did_not_run);
-                if refused {
+                if refused || failed && place.at_least.is_some() {
                     if let Some(lease) = lease {
                         around.roll_back(lease).await;
                     }
--- a/crates/gullspar_direct/tests/placing.rs
+++ b/crates/gullspar_direct/tests/placing.rs
@@ -8,6 +8,7 @@
 
 use futures::future;
 use support::{BOUNDED, Fault, World, run};
+use test_case::test_case;
 
 /// How long replicas are read from again after they were slow: four halvings of what was learnt, and some for
 /// the reads in which it shows.
@@ -63,3 +64,39 @@
         assert_eq!(ran.len() - before, 32, "each runs once");
     });
 }
+
+/// Symptom: for as long as one replica fails what it is asked, a tenth of a group's callers get errors, though two
+/// sound targets could serve them.
+/// Events: the replica answers all checks, and fails each statement.
+/// Cause: only targets that broke off or refused were passed over; and a transaction that only reads was not begun
+/// anew elsewhere.
+#[test_case(Fault::Fails; "all of them")]
+#[test_case(Fault::FailsHalf; "every other one")]
+fn a_target_that_fails_statements_is_passed_over(fault: Fault) {
+    run(async {
+        let world = World::new();
+        let proxy = world.instance(1);
+        world.settle(&proxy).await;
+        let caller = world.caller(&proxy, BOUNDED).await;
+        for _ in 0..20 {
+            caller.done("READ slot").await;
+        }
+        world.group.set(1, fault);
+        let started = Instant::now();
+        while started.elapsed() < Duration::from_secs(2) {
+            caller.done("READ slot").await;
+            caller.done("BEGIN READ").await;
+            caller.done("READ slot").await;
+            caller.done("COMMIT").await;
+        }
+        let failed = world.group.failed.get();
+        assert!((1..=10).contains(&failed), "it failed {failed} statements in two seconds");
+        world.group.mend(1);
+        let mended = Instant::now();
+        let on_replica = || world.group.ran().last().is_some_and(|it| it.member.as_str() == "m1");
+        while !on_replica() {
+            assert!(mended.elapsed() < FORGIVEN_WITHIN * 2, "it is read from again");
+            caller.done("READ slot").await;
+        }
+    });
+}
--- a/crates/gullspar_direct/tests/support/fake_group.rs
+++ b/crates/gullspar_direct/tests/support/fake_group.rs
@@ -28,6 +28,10 @@
     Resets,
     /// It refuses callers' statements as too busy.
     Busy,
+    /// It runs callers' statements and they fail; it answers checks.
+    Fails,
+    /// The same with every other statement.
+    FailsHalf,
     /// It takes no further connections.
     Full,
     /// It takes none of this instance, told by number.
@@ -74,6 +78,9 @@
     data: RefCell<BTreeMap<String, (String, u64)>>,
     ran: RefCell<Vec<Ran>>,
     next_connection: Cell<u64>,
+    turn: Cell<u64>,
+    /// Statements that failed.
+    pub failed: Cell<u32>,
     /// How long a caller's statement takes, in milliseconds.
     pub work_ms: Cell<u64>,
     /// How long a rollback takes, in milliseconds.
@@ -103,6 +110,8 @@
             data: RefCell::default(),
             ran: RefCell::default(),
             next_connection: Cell::new(1),
+            turn: Cell::new(0),
+            failed: Cell::new(0),
             work_ms: Cell::new(1),
             rollback_ms: Cell::new(0),
         })
@@ -199,6 +208,11 @@
         self.members[member].connections.get()
     }
 
+    fn next_turn(&self) -> u64 {
+        self.turn.set(self.turn.get() + 1);
+        self.turn.get()
+    }
+
     fn has(&self, member: &Member, fault: Fault) -> bool {
         member.faults.borrow().contains(&fault)
     }
@@ -389,6 +403,15 @@
         if let Err(code) = self.reaches(at_least) {
             return Ok(self.answer(Vec::new(), Err(code)));
         }
+        let turn = self.group.next_turn();
+        let half = self.group.has(&self.member, Fault::FailsHalf) && turn.is_multiple_of(2);
+        if half || self.group.has(&self.member, Fault::Fails) {
+            self.group.failed.set(self.group.failed.get() + 1);
+            if let Some(open) = &mut self.transaction {
+                open.failed = true;
+            }
+            return Ok(self.answer(Vec::new(), Err(FailureCode::Failed)));
+        }
         let slow = self.member.faults.borrow().iter().find_map(|it| match it {
             Fault::Slow(ms) => Some(*ms),
             _ => None,
