Tell a reading transaction that failed wherever it ran that it failed

Cause: since transactions that only read begin anew elsewhere, one whose first statement failed on one target and found no room on the others was told "not run", though its read had run. The failure is kept and told where no other place does better, as for single reads; and a single failure no longer passes a target over by the way of transactions, which may be the statement's own fault. Test seen failing. What tells a failure of that kind stood three times; it is a method of the failure now.

--- a/crates/gullspar_direct/src/attempt.rs
+++ b/crates/gullspar_direct/src/attempt.rs
@@ -5,7 +5,7 @@
 
 use gullspar_border::{DeadlinePassed, within};
 use gullspar_model::{LogPoint, NotRun};
-use gullspar_statement::{Answer, FailureCode, TargetCommand};
+use gullspar_statement::{Answer, Failure, FailureCode, TargetCommand};
 use gullspar_target::Permit;
 
 use crate::Borders;
@@ -188,7 +188,7 @@
         let Some(answer) = answers.pop() else { return Err(End::Lost) };
         self.target.note_point(answer.point);
         self.target.heard(clock.boot_now());
-        let failed = answer.result.as_ref().is_err_and(|it| it.code == FailureCode::Failed);
+        let failed = answer.result.as_ref().is_err_and(Failure::failed_there);
         if failed || answer.result.is_ok() {
             self.target.ran(failed, clock.now());
         }
--- a/crates/gullspar_direct/src/read_path.rs
+++ b/crates/gullspar_direct/src/read_path.rs
@@ -10,7 +10,7 @@
 use futures::{StreamExt, future};
 use gullspar_border::{DeadlinePassed, within};
 use gullspar_model::{LogPoint, MemberName, NotRun};
-use gullspar_statement::{Answer, FailureCode, TransactionStatus};
+use gullspar_statement::{Answer, Failure, TransactionStatus};
 
 use crate::attempt::{End, Surroundings};
 use crate::group::Group;
@@ -120,8 +120,7 @@
             another_due = true;
             match end {
                 End::Answered(answer) => {
-                    let retry =
-                        answer.result.as_ref().is_err_and(|it| it.code == FailureCode::Failed);
+                    let retry = answer.result.as_ref().is_err_and(Failure::failed_there);
                     if !retry || failed.is_some() {
                         return answer;
                     }
--- a/crates/gullspar_direct/src/transaction.rs
+++ b/crates/gullspar_direct/src/transaction.rs
@@ -42,6 +42,13 @@
     pub(crate) trace: Trace,
 }
 
+/// Why a transaction did not begin at one place; another may be tried.
+enum NotBegun {
+    NotRun(NotRun),
+    /// Its first statement failed there.
+    Failed(Answer),
+}
+
 /// How the end of a transaction went.
 pub(crate) struct Ended {
     pub(crate) answer: Answer,
@@ -180,6 +187,7 @@
         let clock = &proxy.borders.clock;
         let mut tried: Vec<MemberName> = Vec::new();
         let mut last = NotRun::NoPrimary;
+        let mut failed = None;
         while clock.now() < req.deadline {
             let Some(place) = self.place(proxy, req, &tried) else {
                 if proxy.is_hopeless(&self.group) {
@@ -198,9 +206,14 @@
                     self.begun = true;
                     return answer;
                 }
-                Err(reason) => last = reason,
+                Err(NotBegun::NotRun(reason)) => last = reason,
+                Err(NotBegun::Failed(answer)) if failed.is_some() => return answer,
+                Err(NotBegun::Failed(answer)) => failed = Some(answer),
             }
         }
+        if let Some(answer) = failed {
+            return answer;
+        }
         let failure = refusal::not_run(last);
         log::info!(request = req.id.as_str(), group = self.group.name.as_str(), reason = failure.text.as_str(); "G0726 a transaction is refused");
         self.fail(failure)
@@ -221,7 +234,7 @@
         proxy: &Rc<Proxy>,
         req: &Request,
         place: Place,
-    ) -> Result<Answer, NotRun> {
+    ) -> Result<Answer, NotBegun> {
         let permit = place.target.admit(req).await?;
         let around = Surroundings {
             borders: proxy.borders.clone(),
@@ -248,15 +261,19 @@
         let result = around.run_raw(req, permit, lease, None).await;
         match result {
             Ok((answer, lease)) => {
-                // A transaction that only reads may begin anew on another target.
-                let failed = answer.result.as_ref().is_err_and(|it| it.code == FailureCode::Failed);
                 let refused = answer.result.as_ref().is_err_and(Failure::did_not_run);
-                if refused || failed && place.at_least.is_some() {
+                // One that only reads may begin anew on another target.
+                let failed = answer.result.as_ref().is_err_and(Failure::failed_there)
+                    && place.at_least.is_some();
+                if refused || failed {
                     if let Some(lease) = lease {
                         around.roll_back(lease).await;
                     }
+                    if failed {
+                        return Err(NotBegun::Failed(answer));
+                    }
                     place.target.avoid(proxy.borders.clock.now());
-                    return Err(NotRun::Overloaded { retry_after_ms: 50 });
+                    return Err(NotRun::Overloaded { retry_after_ms: 50 }.into());
                 }
                 self.held = lease.map(|lease| Held { around, lease });
                 Ok(answer)
@@ -264,12 +281,18 @@
             Err(_) => {
                 let took = proxy.borders.clock.now().saturating_duration_since(started);
                 log::info!(request = req.id.as_str(), took_ms = took.as_millis() as u64; "G0727 a transaction's first statement was lost");
-                Err(NotRun::ConnectionLost)
+                Err(NotRun::ConnectionLost.into())
             }
         }
     }
 }
 
+impl From<NotRun> for NotBegun {
+    fn from(reason: NotRun) -> NotBegun {
+        NotBegun::NotRun(reason)
+    }
+}
+
 fn reason_of(end: End) -> NotRun {
     match end {
         End::NotRun(reason) => reason,
--- a/crates/gullspar_direct/tests/placing.rs
+++ b/crates/gullspar_direct/tests/placing.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use futures::future;
+use gullspar_statement::FailureCode;
 use support::{BOUNDED, Fault, World, run};
 use test_case::test_case;
 
@@ -102,3 +103,23 @@
         }
     });
 }
+
+/// Symptom: a caller is told that its transaction did not run for want of room, though its read ran twice and failed.
+/// Events: one replica fails what it is asked, and the other targets are too busy.
+/// Cause: the failure was taken for one more place that could not take the transaction.
+#[test]
+fn a_reading_transaction_that_fails_wherever_it_runs_is_told_so() {
+    run(async {
+        let world = World::new();
+        let proxy = world.instance(1);
+        world.settle(&proxy).await;
+        let caller = world.caller(&proxy, BOUNDED).await;
+        caller.done("READ slot").await;
+        world.group.set(1, Fault::Fails);
+        world.group.set(0, Fault::Busy);
+        world.group.set(2, Fault::Busy);
+        caller.done("BEGIN READ").await;
+        assert_eq!(caller.refused("READ slot").await, FailureCode::Failed);
+        caller.done("ROLLBACK").await;
+    });
+}
--- a/crates/gullspar_statement/src/failure.rs
+++ b/crates/gullspar_statement/src/failure.rs
@@ -50,6 +50,11 @@
         Failure { code, text: text.into() }
     }
 
+    /// Whether the target ran it and it failed there; another target may do better.
+    pub fn failed_there(&self) -> bool {
+        self.code == FailureCode::Failed
+    }
+
     /// Whether the target that reported it certainly did not run the statement.
     pub fn did_not_run(&self) -> bool {
         matches!(
