Have one copy of what instances share out, and keep the younger of two equal counts

On reading the change: the part of connections that is planned for, and the one and a half times the slots, stood in homes as well as in the limits and rests of one instance; finding a group's view in a beacon stood seven times. Each is one function now. A part below one statement is rounded up by less than a hundredth, where it was rounded down.

Cause of the other: of two equal counts of instances the last told was kept, whose fifteen seconds might end first, so that an instance behind a cut took its side for the whole early. Test seen failing.

--- a/crates/gullspar_direct/src/beacon.rs
+++ b/crates/gullspar_direct/src/beacon.rs
@@ -53,3 +53,10 @@
         pub known: Vec<SocketAddr>,
     }
 }
+
+impl Beacon {
+    /// What the sender says of `group`; `None` if it does not look at it.
+    pub(crate) fn view(&self, group: &GroupName) -> Option<&GroupView> {
+        self.views.iter().find(|it| it.group == *group)
+    }
+}
--- a/crates/gullspar_direct/src/homes.rs
+++ b/crates/gullspar_direct/src/homes.rs
@@ -5,7 +5,7 @@
 
 use gullspar_model::{DataCentre, GroupName, InstanceId};
 
-use crate::Member;
+use crate::{Member, admission_limit};
 
 /// The least share of connections with which every instance connects itself: one for statements and one for
 /// a transaction beside it.
@@ -14,9 +14,6 @@
 /// The fewest connections to a target that a home should hold.
 const PER_HOME: usize = 5;
 
-/// Part of the connections that is planned for, in percent.
-const PLANNED_PERCENT: usize = 90;
-
 /// What each target of a group allows.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Allowance {
@@ -32,13 +29,14 @@
 /// Five homes in each of five data centres for three slots sent up to 25 statements at once; they waited
 /// in the target's own queue, where neither priority nor deadline counts, and overflowed it.
 fn homes_each(allowance: Allowance, members: &[Member]) -> Option<usize> {
-    let planned = allowance.connections as usize * PLANNED_PERCENT / 100;
+    let planned = admission_limit::planned(allowance.connections) as usize;
     if planned / members.len().max(1) >= LEAST_SHARE {
         return None;
     }
     let data_centres = data_centres(members).len().max(1);
     let by_connections = planned / PER_HOME / data_centres;
-    let by_slots = (3 * allowance.slots as usize).div_ceil(2 * data_centres);
+    let percent = admission_limit::statement_percent(allowance.slots, data_centres);
+    let by_slots = percent.div_ceil(100) as usize;
     Some(by_connections.min(by_slots).max(1))
 }
 
--- a/crates/gullspar_direct/src/pacing.rs
+++ b/crates/gullspar_direct/src/pacing.rs
@@ -10,9 +10,7 @@
 
 use std::time::Duration;
 
-/// How many times the slots all instances together use, in percent: callers are spread unevenly over instances,
-/// so each may use one and a half times its even part, and all together fill the slots and a short queue.
-const OVERCOMMIT_PERCENT: u32 = 150;
+use crate::admission_limit;
 
 /// A target is crowded while its statements take this many percent of what they take on the fastest of its group.
 ///
@@ -22,29 +20,31 @@
 /// The longest rest after a statement, as a multiple of what it took.
 const MOST_REST: u32 = 3;
 
-/// The part of a target that one instance uses, in hundredths of a statement at a time.
+/// The part of a target that one instance uses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Share {
-    hundredths: u32,
+    /// Statements at a time, in percent of one.
+    percent: u32,
     slots: u32,
 }
 
 impl Default for Share {
+    /// One whole statement at a time.
     fn default() -> Share {
-        Share { hundredths: 100, slots: 1 }
+        Share { percent: 100, slots: 1 }
     }
 }
 
 impl Share {
     /// The part of a target with `slots` slots for each of `instances`.
     pub fn of(slots: u32, instances: usize) -> Share {
-        let instances = instances.max(1) as u32;
-        Share { hundredths: OVERCOMMIT_PERCENT * slots / instances, slots: slots.max(1) }
+        let percent = admission_limit::statement_percent(slots, instances);
+        Share { percent, slots: slots.max(1) }
     }
 
     /// Statements at a time, one at least.
     pub fn places(self) -> u32 {
-        self.hundredths.div_ceil(100).clamp(1, self.slots)
+        self.percent.div_ceil(100).clamp(1, self.slots)
     }
 }
 
@@ -58,7 +58,7 @@
 ) -> Duration {
     let (Some(mean), Some(usual)) = (mean, usual) else { return Duration::ZERO };
     let crowded = mean.as_micros() * 100 >= usual.as_micros() * CROWDED_PERCENT;
-    let part = share.hundredths.max(1);
+    let part = share.percent.max(1);
     if !crowded || part >= 100 {
         return Duration::ZERO;
     }
--- a/crates/gullspar_direct/src/peer_table.rs
+++ b/crates/gullspar_direct/src/peer_table.rs
@@ -37,8 +37,8 @@
 /// that are there. A cut lasts seconds.
 const CONTACT_FOR: Duration = Duration::from_secs(60);
 
-/// How many instances there were, as others told.
-#[derive(Clone, Copy)]
+/// How many instances there were, as others told; more of them count for more, then the later count.
+#[derive(Clone, Copy, PartialEq, PartialOrd)]
 struct Told {
     instances: usize,
     at: BootInstant,
@@ -85,10 +85,10 @@
 
     fn take_count(&self, note: CountNote, now: BootInstant) {
         let at = now.minus(Duration::from_millis(note.age_ms));
-        let instances = note.instances as usize;
-        let known = self.told(now).map_or(0, |it| it.instances);
-        if instances >= known && now.since(at) < COUNTS_FOR {
-            self.told.set(Some(Told { instances, at }));
+        let told = Told { instances: note.instances as usize, at };
+        // Of two that are equal the younger, which counts for longer.
+        if self.told(now).is_none_or(|it| told > it) {
+            self.told.set(Some(told));
         }
     }
 
@@ -170,7 +170,7 @@
     /// Names of the instances that look at `group` and stay.
     pub fn looking_at(&self, group: &GroupName, now: BootInstant) -> Vec<InstanceId> {
         self.select(now, self.alive_for(), |it| {
-            let has_view = it.views.iter().any(|it| it.group == *group);
+            let has_view = it.view(group).is_some();
             (!it.leaving && has_view).then(|| it.from.clone())
         })
     }
@@ -199,7 +199,7 @@
     /// Instances that count in a majority about `group`, this one included: those that look at it.
     pub fn counted_for(&self, group: &GroupName, now: BootInstant) -> usize {
         let looks = |it: &Beacon| {
-            let has_view = it.views.iter().any(|it| it.group == *group);
+            let has_view = it.view(group).is_some();
             (!it.leaving && has_view).then_some(())
         };
         1 + self.select(now, COUNTS_FOR, looks).len()
@@ -221,7 +221,7 @@
         now: BootInstant,
     ) -> bool {
         let sees = |it: &Beacon| {
-            let view = it.views.iter().find(|it| it.group == *group)?;
+            let view = it.view(group)?;
             let leads = view.sighting == Sighting::Leads && view.leader.as_ref() == Some(leader);
             leads.then_some(())
         };
@@ -241,7 +241,7 @@
     ) -> bool {
         let limit = VOUCH_HOLDS_FOR + 2 * self.slack.get();
         let vouches = |it: &Beacon| {
-            let view = it.views.iter().find(|it| it.group == *group)?;
+            let view = it.view(group)?;
             let not_against = match view.sighting {
                 Sighting::Leads => view.leader.as_ref() == Some(leader),
                 // One that has just started has no say yet.
@@ -257,7 +257,7 @@
     /// Other instances that take work and lately saw `group` led by somebody.
     pub fn seeing_leader(&self, group: &GroupName, now: BootInstant) -> Vec<Member> {
         let sees = |it: &Beacon| {
-            let view = it.views.iter().find(|it| it.group == *group)?;
+            let view = it.view(group)?;
             (!it.leaving && view.sighting == Sighting::Leads).then(|| member(it))
         };
         self.select(now, VIEW_HOLDS_FOR, sees)
@@ -266,7 +266,7 @@
     /// Whether any other instance lately saw `group` led by somebody.
     pub fn others_see_leader(&self, group: &GroupName, now: BootInstant) -> bool {
         let sees = |it: &Beacon| {
-            let view = it.views.iter().find(|it| it.group == *group)?;
+            let view = it.view(group)?;
             (view.sighting == Sighting::Leads).then_some(())
         };
         !self.select(now, VIEW_HOLDS_FOR, sees).is_empty()
@@ -280,7 +280,7 @@
         now: BootInstant,
     ) -> usize {
         let against = |it: &Beacon| {
-            let view = it.views.iter().find(|it| it.group == *group)?;
+            let view = it.view(group)?;
             match view.sighting {
                 Sighting::NoLeader => Some(()),
                 Sighting::Dark => {
--- a/crates/gullspar_direct/tests/start_behind_a_cut.rs
+++ b/crates/gullspar_direct/tests/start_behind_a_cut.rs
@@ -84,3 +84,16 @@
     assert!(other.counted(at(20)) <= 3, "{}", other.counted(at(20)));
     assert!(table.counted(at(20)) <= 3, "{}", table.counted(at(20)));
 }
+
+/// Symptom: an instance behind a cut takes its side for the whole some seconds early.
+/// Events: neighbours tell the same count, one from long ago last.
+/// Cause: the last one told was kept, whose time ends first.
+#[test]
+fn of_two_equal_counts_the_younger_is_kept() {
+    let table = PeerTable::new([]);
+    let now = BootInstant(100_000_000);
+    for age_ms in [1_000, 14_000] {
+        table.take(support::beacon(8, CountNote { instances: 9, age_ms }), now);
+    }
+    assert_eq!(table.counted(now.plus(Duration::from_secs(5))), 9);
+}
