--- a/crates/gullspar_direct/src/peer_table.rs
+++ b/crates/gullspar_direct/src/peer_table.rs
@@ -8,6 +8,7 @@
 use gullspar_border::BootInstant;
 use gullspar_model::{GroupName, InstanceId, MemberName};
 
+use crate::count_note::CountBook;
 use crate::{Beacon, CountNote, Member, Sighting};
 
 /// An instance heard within this time is alive: five beacons in a row may get lost.
@@ -29,7 +30,7 @@
 ///
 /// A cut-off data centre must not become its own majority within the seconds that cuts usually last;
 /// an instance that was removed for good must not count for ever.
-const COUNTS_FOR: Duration = Duration::from_secs(15);
+pub(crate) const COUNTS_FOR: Duration = Duration::from_secs(15);
 
 /// How long an address is told news although nobody answers there.
 ///
@@ -37,13 +38,6 @@
 /// that are there. A cut lasts seconds.
 const CONTACT_FOR: Duration = Duration::from_secs(60);
 
-/// How many instances there were, as others told; more of them count for more, then the later count.
-#[derive(Clone, Copy, PartialEq, PartialOrd)]
-struct Told {
-    instances: usize,
-    at: BootInstant,
-}
-
 struct Heard {
     beacon: Beacon,
     at: BootInstant,
@@ -56,7 +50,8 @@
     /// Addresses that were named somewhere, with the time until which they are told although they are
     /// silent; `None` for those of the settings, which are told for ever.
     contacts: RefCell<BTreeMap<SocketAddr, Option<BootInstant>>>,
-    told: Cell<Option<Told>>,
+    /// How many instances there are, as others told.
+    told: CountBook,
     /// How much longer than a beacon's usual pause an instance may be silent, because all are too many to
     /// be told each time.
     slack: Cell<Duration>,
@@ -79,33 +74,13 @@
         if let Some(Some(until)) = self.contacts.borrow_mut().get_mut(&beacon.address) {
             *until = now.plus(CONTACT_FOR);
         }
-        self.take_count(beacon.counted, now);
+        self.told.take(beacon.counted, now);
         self.heard.borrow_mut().insert(beacon.from.clone(), Heard { beacon, at: now });
     }
 
-    fn take_count(&self, note: CountNote, now: BootInstant) {
-        let at = now.minus(Duration::from_millis(note.age_ms));
-        let told = Told { instances: note.instances as usize, at };
-        // Of two that are equal the younger, which counts for longer.
-        if self.told(now).is_none_or(|it| told > it) {
-            self.told.set(Some(told));
-        }
-    }
-
-    fn told(&self, now: BootInstant) -> Option<Told> {
-        self.told.get().filter(|it| now.since(it.at) < COUNTS_FOR)
-    }
-
     /// The most instances that are known of, for others.
     pub fn count_to_tell(&self, now: BootInstant) -> CountNote {
-        let heard = self.counted_here(now);
-        match self.told(now).filter(|it| it.instances > heard) {
-            Some(told) => CountNote {
-                instances: told.instances as u32,
-                age_ms: now.since(told.at).as_millis() as u64,
-            },
-            None => CountNote { instances: heard as u32, age_ms: 0 },
-        }
+        self.told.to_tell(self.counted_here(now), now)
     }
 
     /// Adds an address where an instance may be.
@@ -189,7 +164,7 @@
 
     /// Instances that count, this one included, by what was heard here and what others told.
     pub fn counted(&self, now: BootInstant) -> usize {
-        self.counted_here(now).max(self.told(now).map_or(0, |it| it.instances))
+        self.counted_here(now).max(self.told.instances(now))
     }
 
     fn counted_here(&self, now: BootInstant) -> usize {
--- a/crates/gullspar_direct/src/target.rs
+++ b/crates/gullspar_direct/src/target.rs
@@ -173,9 +173,9 @@
     /// It ran a statement, and the statement failed or did not.
     ///
     /// A target may fail what it is asked, or half of it, and answer each check. Asked for every other read all the
-    /// same, one such replica failed 587 statements in seven seconds of a large fleet. One failure may be the statement's own
-    /// fault; where they prevail the target is passed over, twice as long each time, and the reads that try it
-    /// again show when it is well.
+    /// same, one such replica of a large fleet failed 587 statements in seven seconds. One failure may be the
+    /// statement's own fault; where they prevail the target is passed over, twice as long each time, and the reads
+    /// that try it again show when it is well.
     pub(crate) fn ran(&self, failed: bool, now: Instant) {
         if !failed {
             self.failures.set(self.failures.get().saturating_sub(SUCCESS_WEIGHT));
