Split the fake group of targets by job, and keep one copy of what tests begin with

A settled world, replicas that were slow, a fleet that starts together and a caller with an open session stood two to five times each. Assertions are the same.

--- a/crates/gullspar_direct/tests/homes.rs
+++ b/crates/gullspar_direct/tests/homes.rs
@@ -29,6 +29,10 @@
     proxies
 }
 
+fn members(count: u16) -> Vec<Member> {
+    (1..=count).map(support::member).collect()
+}
+
 fn homes(proxies: &[Rc<Proxy>]) -> Vec<Rc<Proxy>> {
     proxies.iter().filter(|it| !it.groups().is_empty()).map(Rc::clone).collect()
 }
@@ -110,12 +114,7 @@
 fn instances_that_start_together_do_not_each_take_themselves_for_the_only_one() {
     run(async {
         let world = World::new();
-        for number in 1..=INSTANCES {
-            world.registry.keep(support::member(number));
-        }
-        let proxies: Vec<Rc<Proxy>> = (1..=INSTANCES)
-            .map(|it| world.instance_with(it, support::with_connections(2, CONNECTIONS)))
-            .collect();
+        let proxies = world.fleet(&members(INSTANCES), CONNECTIONS);
         pause(100).await;
         let homes = homes(&proxies);
         assert!(!homes.is_empty() && homes.len() < proxies.len(), "{} homes", homes.len());
@@ -159,12 +158,7 @@
 fn there_are_no_more_homes_than_the_targets_can_serve_at_once() {
     run(async {
         let world = World::new();
-        for number in 1..=FLEET {
-            world.registry.keep(support::member(number));
-        }
-        let proxies: Vec<Rc<Proxy>> = (1..=FLEET)
-            .map(|it| world.instance_with(it, support::with_connections(2, MANY_CONNECTIONS)))
-            .collect();
+        let proxies = world.fleet(&members(FLEET), MANY_CONNECTIONS);
         pause(300).await;
         let slots = world.group.specs()[0].slots as usize;
         let homes = homes(&proxies).len();
@@ -183,10 +177,8 @@
             let strength = if strong(number) { 4000 } else { 120 };
             Member { strength, ..support::member(number) }
         };
-        (1..=FLEET).for_each(|it| world.registry.keep(member(it)));
-        let proxies: Vec<Rc<Proxy>> = (1..=FLEET)
-            .map(|it| world.instance_as(member(it), support::with_connections(2, CONNECTIONS)))
-            .collect();
+        let fleet: Vec<Member> = (1..=FLEET).map(member).collect();
+        let proxies = world.fleet(&fleet, CONNECTIONS);
         pause(300).await;
         let homes: Vec<u16> =
             (1..).zip(&proxies).filter(|(_, it)| !it.groups().is_empty()).map(|it| it.0).collect();
--- a/crates/gullspar_direct/tests/placing.rs
+++ b/crates/gullspar_direct/tests/placing.rs
@@ -8,7 +8,7 @@
 
 use futures::future;
 use gullspar_statement::FailureCode;
-use support::{BOUNDED, Fault, World, run};
+use support::{BOUNDED, Fault, run, settled};
 use test_case::test_case;
 
 /// How long replicas are read from again after they were slow: four halvings of what was learnt, and some for
@@ -21,24 +21,14 @@
 #[test]
 fn replicas_that_were_slow_are_read_from_again() {
     run(async {
-        let world = World::new();
-        let proxy = world.instance(1);
-        world.settle(&proxy).await;
+        let (world, proxy) = settled().await;
         let caller = world.caller(&proxy, BOUNDED).await;
-        for member in [1, 2] {
-            world.group.set(member, Fault::Slow(250));
-        }
-        let leader = world.group.leader().unwrap();
-        let on_leader = || world.group.ran().last().is_some_and(|it| it.member == leader);
-        let started = Instant::now();
-        while started.elapsed() < Duration::from_secs(3) || !on_leader() {
-            caller.done("READ slot").await;
-        }
+        world.slow_replicas(&caller).await;
         for member in [1, 2] {
             world.group.mend(member);
         }
         let mended = Instant::now();
-        while on_leader() {
+        while world.is_read_from_leader() {
             assert!(mended.elapsed() < FORGIVEN_WITHIN, "replicas are not read from again");
             caller.done("READ slot").await;
         }
@@ -51,9 +41,7 @@
 #[test]
 fn a_burst_is_spread_over_the_replicas() {
     run(async {
-        let world = World::new();
-        let proxy = world.instance(1);
-        world.settle(&proxy).await;
+        let (world, proxy) = settled().await;
         world.group.work_ms.set(50);
         let callers = future::join_all((0..32).map(|_| world.caller(&proxy, BOUNDED))).await;
         let before = world.group.ran().len();
@@ -75,9 +63,7 @@
 #[test_case(Fault::FailsHalf; "every other one")]
 fn a_target_that_fails_statements_is_passed_over(fault: Fault) {
     run(async {
-        let world = World::new();
-        let proxy = world.instance(1);
-        world.settle(&proxy).await;
+        let (world, proxy) = settled().await;
         let caller = world.caller(&proxy, BOUNDED).await;
         for _ in 0..20 {
             caller.done("READ slot").await;
@@ -110,9 +96,7 @@
 #[test]
 fn a_reading_transaction_that_fails_wherever_it_runs_is_told_so() {
     run(async {
-        let world = World::new();
-        let proxy = world.instance(1);
-        world.settle(&proxy).await;
+        let (world, proxy) = settled().await;
         let caller = world.caller(&proxy, BOUNDED).await;
         caller.done("READ slot").await;
         world.group.set(1, Fault::Fails);
--- a/crates/gullspar_direct/tests/started_anew.rs
+++ b/crates/gullspar_direct/tests/started_anew.rs
@@ -4,20 +4,10 @@
 
 mod support;
 
-use std::rc::Rc;
-use std::time::{Duration, Instant};
-
-use gullspar_direct::{Catalogue, GroupLimits, Proxy, TargetList};
+use gullspar_direct::{Catalogue, GroupLimits, TargetList};
 use gullspar_model::GroupName;
 use gullspar_statement::FailureCode;
-use support::{BOUNDED, Fault, LATEST, OWN, World, catalogue, leader_of, pause, run, until};
-
-async fn settled() -> (World, Rc<Proxy>) {
-    let world = World::new();
-    let proxy = world.instance(1);
-    world.settle(&proxy).await;
-    (world, proxy)
-}
+use support::{BOUNDED, Fault, LATEST, OWN, catalogue, leader_of, pause, run, settled, until};
 
 /// Symptom: replicas that have just been started get no reads for seconds, and their leader has too many.
 /// Events: two replicas answer slowly, are restarted and are fast again.
@@ -27,15 +17,7 @@
     run(async {
         let (world, proxy) = settled().await;
         let caller = world.caller(&proxy, BOUNDED).await;
-        for member in [1, 2] {
-            world.group.set(member, Fault::Slow(250));
-        }
-        let leader = world.group.leader().unwrap();
-        let on_leader = || world.group.ran().last().is_some_and(|it| it.member == leader);
-        let started = Instant::now();
-        while started.elapsed() < Duration::from_secs(3) || !on_leader() {
-            caller.done("READ slot").await;
-        }
+        world.slow_replicas(&caller).await;
         for member in [1, 2] {
             world.group.start_anew(member);
             world.group.mend(member);
@@ -43,7 +25,10 @@
         world.list_targets(&proxy, 2);
         pause(50).await;
         caller.done("READ slot").await;
-        assert!(!on_leader(), "a replica that has just started serves reads at once");
+        assert!(
+            !world.is_read_from_leader(),
+            "a replica that has just started serves reads at once"
+        );
     });
 }
 
--- a/crates/gullspar_direct/tests/statements.rs
+++ b/crates/gullspar_direct/tests/statements.rs
@@ -4,19 +4,9 @@
 
 mod support;
 
-use std::rc::Rc;
-
-use gullspar_direct::{Phase, Proxy};
+use gullspar_direct::Phase;
 use gullspar_statement::FailureCode;
-use support::{BOUNDED, Fault, LATEST, OWN, World, pause, run, until};
-
-/// A world with one instance that knows its leader.
-async fn settled() -> (World, Rc<Proxy>) {
-    let world = World::new();
-    let proxy = world.instance(1);
-    world.settle(&proxy).await;
-    (world, proxy)
-}
+use support::{BOUNDED, Fault, LATEST, OWN, World, pause, run, settled, until};
 
 /// A read that may be old runs on a replica, and one that may not runs on the leader.
 #[test]
--- a/crates/gullspar_direct/tests/support/mod.rs
+++ b/crates/gullspar_direct/tests/support/mod.rs
@@ -10,6 +10,8 @@
 mod fake_promoter;
 mod fake_registry;
 mod fake_relay;
+mod fake_target;
+mod fault;
 
 use std::future::Future;
 use std::net::SocketAddr;
@@ -26,10 +28,11 @@
 
 pub use fake_caller::FakeCaller;
 pub use fake_claims::FakeClaims;
-pub use fake_group::{FakeGroup, Fault};
+pub use fake_group::FakeGroup;
 pub use fake_peers::FakeNetwork;
 pub use fake_promoter::FakePromoter;
 pub use fake_registry::FakeRegistry;
+pub use fault::Fault;
 
 pub const GROUP: &str = "group-1";
 
@@ -53,6 +56,12 @@
 /// How long after their start instances judge leaders, in milliseconds: 1,500, and some for the way there.
 const JUDGE_AFTER_MS: u64 = 1700;
 
+/// How much longer statements take on replicas that are made slow, in milliseconds.
+const SLOW_MS: u64 = 250;
+
+/// The least time for which they are read from, so that it is learnt that they are slow.
+const LEARNT_AFTER: Duration = Duration::from_secs(3);
+
 /// Everything around one or more instances.
 pub struct World {
     pub group: Rc<FakeGroup>,
@@ -153,6 +162,28 @@
         proxies
     }
 
+    /// Instances of a fleet of which each is entered in the registry, started together before this many
+    /// connections to each target.
+    pub fn fleet(&self, members: &[Member], connections: u32) -> Vec<Rc<Proxy>> {
+        members.iter().for_each(|it| self.registry.keep(it.clone()));
+        let start = |it: &Member| self.instance_as(it.clone(), with_connections(2, connections));
+        members.iter().map(start).collect()
+    }
+
+    /// Reads with `caller` until replicas that are made slow are left to the leader.
+    pub async fn slow_replicas(&self, caller: &FakeCaller) {
+        [1, 2].into_iter().for_each(|it| self.group.set(it, Fault::Slow(SLOW_MS)));
+        let started = Instant::now();
+        while started.elapsed() < LEARNT_AFTER || !self.is_read_from_leader() {
+            caller.done("READ slot").await;
+        }
+    }
+
+    /// Whether the last statement ran on the leader.
+    pub fn is_read_from_leader(&self) -> bool {
+        self.group.ran().last().map(|it| it.member.clone()) == self.group.leader()
+    }
+
     /// Tells an instance which targets there are.
     pub fn list_targets(&self, proxy: &Proxy, revision: u64) {
         let list = TargetList { revision, targets: self.group.specs() };
@@ -193,6 +224,14 @@
     }
 }
 
+/// A world with one instance that knows its leader.
+pub async fn settled() -> (World, Rc<Proxy>) {
+    let world = World::new();
+    let proxy = world.instance(1);
+    world.settle(&proxy).await;
+    (world, proxy)
+}
+
 /// What others know of an instance.
 pub fn member(number: u16) -> Member {
     Member {
