--- a/crates/gullspar_direct/src/home_groups.rs
+++ b/crates/gullspar_direct/src/home_groups.rs
@@ -204,6 +204,7 @@
             cut_off: self.shutdown.cut_off() != CutOff::No,
             leaderless: leaderless as u64,
             instances: 1 + self.peers.alive(self.borders.clock.boot_now()).len() as u64,
+            store_silent_ms: self.store_silent_for().map(|it| it.as_millis() as u64),
         }
     }
 }
--- a/crates/gullspar_direct/src/membership.rs
+++ b/crates/gullspar_direct/src/membership.rs
@@ -122,7 +122,7 @@
                 };
                 let deadline = clock.now() + FETCH_WITHIN;
                 match self.borders.peers.fetch(from, req, deadline).await {
-                    Ok(snapshot) => self.take(snapshot),
+                    Ok(snapshot) => self.take(from, snapshot),
                     Err(PeerError::NoAnswer(reason)) => {
                         log::info!(from = from.to_string().as_str(), reason = reason.as_str(); "G0714 an instance did not hand over its configuration");
                     }
@@ -132,9 +132,12 @@
         }
     }
 
-    pub(crate) fn take(&self, snapshot: Snapshot) {
+    fn take(&self, from: SocketAddr, snapshot: Snapshot) {
         if let Some(catalogue) = snapshot.catalogue {
-            self.directory.apply_catalogue(catalogue);
+            let version = catalogue.version;
+            if self.directory.apply_catalogue(catalogue) {
+                log::info!(version = version, from = from.to_string().as_str(); "G0760 a configuration came from an instance");
+            }
         }
         if let Some(targets) = snapshot.targets
             && !self.reaches_store()
@@ -203,8 +206,13 @@
     }
 
     pub(crate) fn reaches_store(&self) -> bool {
+        self.store_silent_for().is_some_and(|it| it < STORE_SILENT_AFTER)
+    }
+
+    /// How long the store has not answered; `None` if it never did.
+    pub(crate) fn store_silent_for(&self) -> Option<Duration> {
         let now = self.borders.clock.boot_now();
-        self.store_heard.borrow().is_some_and(|at| now.since(at) < STORE_SILENT_AFTER)
+        self.store_heard.borrow().map(|at| now.since(at))
     }
 
     /// The store answered; what it says is newer than what other instances know.
--- a/crates/gullspar_direct/src/stats.rs
+++ b/crates/gullspar_direct/src/stats.rs
@@ -28,6 +28,7 @@
     cut_off: Gauge<u64>,
     leaderless: Gauge<u64>,
     instances: Gauge<u64>,
+    store_silent: Gauge<u64>,
 }
 
 /// What is measured at intervals.
@@ -37,6 +38,8 @@
     pub(crate) cut_off: bool,
     pub(crate) leaderless: u64,
     pub(crate) instances: u64,
+    /// Time since the store's last answer in milliseconds, if it ever came.
+    pub(crate) store_silent_ms: Option<u64>,
 }
 
 impl Stats {
@@ -85,6 +88,10 @@
             cut_off: gauge("gullspar_cut_off", "1 while this instance is cut off."),
             leaderless: gauge("gullspar_groups_without_leader", "Groups without a usable leader."),
             instances: gauge("gullspar_instances", "Instances alive, this one included."),
+            store_silent: gauge(
+                "gullspar_store_silent_ms",
+                "Milliseconds since the platform's store answered last.",
+            ),
         }
     }
 
@@ -132,6 +139,9 @@
         self.cut_off.record(u64::from(levels.cut_off), &[]);
         self.leaderless.record(levels.leaderless, &[]);
         self.instances.record(levels.instances, &[]);
+        if let Some(silent_ms) = levels.store_silent_ms {
+            self.store_silent.record(silent_ms, &[]);
+        }
     }
 }
 
