Ask only a store that answers to hold its answer back

Cause: after a failed call the follower sent the store another watch of 3 s. Swallowed by the silence it held the follower for 4.2 s and a pause of up to 1.5 s more, past the store's return; all instances were held at once, as all renew at the same news.

Now a watch waits only if the last call was answered; else the store is asked for news at once, at most 1.2 s a try. Pauses count from the sending of the call. A watch waits 2 s instead of 3 s, so that one that silence overtakes is given up after 3.2 s.

--- a/crates/gullspar_border/src/lib.rs
+++ b/crates/gullspar_border/src/lib.rs
@@ -15,6 +15,7 @@
 mod peers;
 mod platform;
 mod primary_view;
+mod watch_pace;
 
 pub use boot_instant::BootInstant;
 pub use burn_series::{BurnSeries, MinuteCount, TargetBlame};
@@ -30,3 +31,4 @@
     ObjectVersion, Platform, PlatformError, PlatformInstance, StoredObject, WatchReply,
 };
 pub use primary_view::PrimaryView;
+pub use watch_pace::WatchPace;
