Take the list of targets from others where the store is left to them, and ask whoever is ahead

Of 73 instances just the 14 dropped 23 targets that had read the store in its silence's last try and do not follow it: for 3 s they went by that list, from which lapsed entries were missing, and took none from others. It was there before, and rarer: with watches of 4.2 s most read the list only when the entries were back.

The list now comes from the store only where the instance follows it; instances that follow it as a last resort try it seldom, together some 20 times a second; a fetch that fails goes to the next instance that is ahead, where the first in order was asked for ever (second hypothesis of the incident: not its cause, yet a fault).

--- a/crates/gullspar_direct/src/lib.rs
+++ b/crates/gullspar_direct/src/lib.rs
@@ -42,6 +42,7 @@
 mod shutdown;
 mod snapshot;
 mod stats;
+mod store_contact;
 mod target;
 mod target_watch;
 mod trace;
--- a/crates/gullspar_direct/src/membership.rs
+++ b/crates/gullspar_direct/src/membership.rs
@@ -7,7 +7,6 @@
 use gullspar_border::{PeerError, within};
 use gullspar_model::GroupName;
 
-use crate::homes;
 use crate::proxy::SETTLE;
 use crate::{Beacon, Member, Phase, Proxy, Snapshot, SnapshotRequest};
 
@@ -26,18 +25,6 @@
 /// How long handing over a snapshot may take.
 const FETCH_WITHIN: Duration = Duration::from_millis(800);
 
-/// Silence of the store after which the list of targets is taken from other instances.
-const STORE_SILENT_AFTER: Duration = Duration::from_secs(3);
-
-/// Instances up to which all follow the store: more than today's 7 to 13.
-const ALL_FOLLOW_UP_TO: usize = 16;
-
-/// Instances of a data centre that follow the store for the others.
-const FOLLOWERS: usize = 2;
-
-/// What the followers of the store are ranked by.
-const STORE_RANK: &str = "gullspar store";
-
 impl Proxy {
     pub(crate) async fn send_beacons(self: Rc<Self>) {
         let clock = Rc::clone(&self.borders.clock);
@@ -112,10 +99,13 @@
     /// configuration that everybody else has left.
     pub(crate) async fn follow_peers(self: Rc<Self>) {
         let clock = Rc::clone(&self.borders.clock);
+        // From a random one on, so that not all ask the same instance.
+        let mut turn = self.borders.entropy.next_u64() as usize;
         loop {
-            let revision = (!self.reaches_store()).then(|| self.directory.target_revision());
-            let newer = self.peers.newer(self.directory.version(), revision, clock.boot_now());
-            if let Some(from) = newer {
+            let revision = (!self.goes_by_store()).then(|| self.directory.target_revision());
+            let ahead = self.peers.ahead(self.directory.version(), revision, clock.boot_now());
+            if !ahead.is_empty() {
+                let from = ahead[turn % ahead.len()];
                 let req = SnapshotRequest {
                     catalogue_version: self.directory.version(),
                     target_revision: self.directory.target_revision(),
@@ -124,6 +114,8 @@
                 match self.borders.peers.fetch(from, req, deadline).await {
                     Ok(snapshot) => self.take(from, snapshot),
                     Err(PeerError::NoAnswer(reason)) => {
+                        // One whose beacons arrive may still be out of reach; the next one may not be.
+                        turn = turn.wrapping_add(1);
                         log::info!(from = from.to_string().as_str(), reason = reason.as_str(); "G0714 an instance did not hand over its configuration");
                     }
                 }
@@ -140,7 +132,7 @@
             }
         }
         if let Some(targets) = snapshot.targets
-            && !self.reaches_store()
+            && !self.goes_by_store()
         {
             self.directory.apply_targets(targets, self.borders.clock.now());
         }
@@ -170,25 +162,6 @@
         }
     }
 
-    /// Whether this instance follows the platform's store itself.
-    ///
-    /// A few instances all do. Of many, two in each data centre do, and the others hear of changes from
-    /// them, since each call to the store is paid for; if nobody alive reaches the store, all try.
-    pub fn follows_store(&self) -> bool {
-        let members = self.members();
-        if members.len() <= ALL_FOLLOW_UP_TO {
-            return true;
-        }
-        let now = self.borders.clock.boot_now();
-        if !self.reaches_store() && !self.peers.others_reach_store(now) {
-            return true;
-        }
-        let mut near: Vec<&Member> =
-            members.iter().filter(|it| it.data_centre == self.own.data_centre).collect();
-        near.sort_by_key(|it| homes::weight(&STORE_RANK.into(), &it.id));
-        near.iter().take(FOLLOWERS).any(|it| it.id == self.own.id)
-    }
-
     /// All instances that take work, this one included.
     pub(crate) fn members(&self) -> Vec<Member> {
         let mut members = self.peers.members(self.borders.clock.boot_now());
@@ -204,19 +177,4 @@
             strength: self.own.strength,
         }
     }
-
-    pub(crate) fn reaches_store(&self) -> bool {
-        self.store_silent_for().is_some_and(|it| it < STORE_SILENT_AFTER)
-    }
-
-    /// How long the store has not answered; `None` if it never did.
-    pub(crate) fn store_silent_for(&self) -> Option<Duration> {
-        let now = self.borders.clock.boot_now();
-        self.store_heard.borrow().map(|at| now.since(at))
-    }
-
-    /// The store answered; what it says is newer than what other instances know.
-    pub fn store_answered(&self) {
-        *self.store_heard.borrow_mut() = Some(self.borders.clock.boot_now());
-    }
 }
--- a/crates/gullspar_direct/src/peer_table.rs
+++ b/crates/gullspar_direct/src/peer_table.rs
@@ -267,18 +267,13 @@
         self.select(now, VIEW_HOLDS_FOR, against).len()
     }
 
-    /// An instance alive whose news are newer than `version` and `revision`.
-    pub fn newer(
-        &self,
-        version: u64,
-        revision: Option<u64>,
-        now: BootInstant,
-    ) -> Option<SocketAddr> {
+    /// The instances alive whose news are newer than `version` and `revision`.
+    pub fn ahead(&self, version: u64, revision: Option<u64>, now: BootInstant) -> Vec<SocketAddr> {
         let ahead = |it: &Beacon| {
             let list = revision.is_some_and(|known| it.target_revision > known && it.reaches_store);
             (it.catalogue_version > version || list).then_some(it.address)
         };
-        self.select(now, self.alive_for(), ahead).into_iter().next()
+        self.select(now, self.alive_for(), ahead)
     }
 
     fn select<T>(
--- a/crates/gullspar_direct/tests/support/fake_peers.rs
+++ b/crates/gullspar_direct/tests/support/fake_peers.rs
@@ -52,6 +52,12 @@
         }
     }
 
+    /// Lets nothing through from `from` to `to`; what goes the other way arrives.
+    pub fn cut_one_way(&self, from: u16, to: u16) {
+        let address = |number: u16| SocketAddr::from(([127, 0, 0, 1], number));
+        self.cut_pairs.borrow_mut().insert((address(from), address(to)));
+    }
+
     pub fn heal(&self) {
         self.cut_pairs.borrow_mut().clear();
         self.cut_off.borrow_mut().clear();
