Take a claim that is read again for no act of its holder

Cause: each instance that read the standing claim noted its holder as acting at that moment and waited for it, 3.3 s, and again with the next look: while the holder lived nobody else could promote, and here the store answered the holder for six seconds only after all others. Ruled out: tries that hold each other up (they run side by side); that the instances which the store answered did not know (they noted the leaving target within 60 ms).

A look counts for a claim that is new here only; a holder tells each of its orders, so that its time alone follows what it does. Test seen failing.

--- a/crates/gullspar_direct/src/claim_book.rs
+++ b/crates/gullspar_direct/src/claim_book.rs
@@ -38,7 +38,17 @@
         ClaimBook { lease, newest: None }
     }
 
-    /// Notes that `holder` acted with `token` at `at`, or that the claim was first seen then.
+    /// Notes that the claim stands in the store, seen at `at`.
+    ///
+    /// One that is new here may have been made just now. One that is known says nothing of what its holder does:
+    /// taken for an act of it, each look of the others would make it alone again for as long as it lives.
+    pub fn saw(&mut self, token: FencingToken, holder: InstanceId, at: BootInstant) {
+        if self.newest.as_ref().is_none_or(|it| it.token < token) {
+            self.note(token, holder, at);
+        }
+    }
+
+    /// Notes that `holder` acted with `token` at `at`.
     pub fn note(&mut self, token: FencingToken, holder: InstanceId, at: BootInstant) {
         match &mut self.newest {
             Some(known) if known.token > token => {}
@@ -47,12 +57,16 @@
         }
     }
 
-    /// Takes what another instance told at `now`.
-    pub fn take(&mut self, note: &ClaimNote, now: BootInstant) {
-        if self.newest.as_ref().is_some_and(|it| it.token >= note.token) {
-            return;
+    /// Takes what the instance `from` told at `now`.
+    ///
+    /// Of a claim that is known here, only its holder tells when it acted last: passed on by others, a note grows
+    /// younger with each delay on its way.
+    pub fn take(&mut self, note: &ClaimNote, from: &InstanceId, now: BootInstant) {
+        let known = self.newest.as_ref().is_some_and(|it| it.token >= note.token);
+        if !known || note.holder == *from {
+            let acted_at = now.minus(Duration::from_millis(note.age_ms));
+            self.note(note.token, note.holder.clone(), acted_at);
         }
-        self.note(note.token, note.holder.clone(), now.minus(Duration::from_millis(note.age_ms)));
     }
 
     /// What to tell others at `now`.
--- a/crates/gullspar_direct/src/failover.rs
+++ b/crates/gullspar_direct/src/failover.rs
@@ -148,8 +148,9 @@
         };
         let over = standing.as_ref().map(|it| it.token);
         if let (Some(token), Some(claim)) = (over, before) {
-            self.group.note_claim(token, &claim.holder, clock.boot_now());
+            self.group.claims().saw(token, claim.holder.clone(), clock.boot_now());
             if !self.may_act() {
+                log::info!(group = self.group.name.as_str(), holder = claim.holder.as_str(), token = token.0; "G0761 an instance that lives holds the claim; it is waited for");
                 return;
             }
         }
@@ -165,7 +166,6 @@
             log::info!(group = self.group.name.as_str(); "G0716 the leader is back; nothing is ordered");
             return;
         }
-        self.group.note_claim(token, &self.own, clock.boot_now());
         let ordered = self.order(&claim, token).await;
         self.group.note_claim(token, &self.own, clock.boot_now());
         match ordered {
@@ -196,6 +196,8 @@
     async fn order(&self, claim: &Claim, token: FencingToken) -> Result<(), PromoteError> {
         let mut tries = 1;
         loop {
+            // Told to the others, who wait for a while after each of these acts.
+            self.group.note_claim(token, &self.own, self.borders.clock.boot_now());
             let ordered = self.borders.promoter.promote(&self.group.name, claim, token).await;
             let Err(PromoteError::NoAnswer(reason)) = &ordered else { return ordered };
             // The leader may show, or another instance may act, in the meantime.
--- a/crates/gullspar_direct/src/lib.rs
+++ b/crates/gullspar_direct/src/lib.rs
@@ -27,6 +27,7 @@
 mod homes;
 mod member;
 mod membership;
+mod news_source;
 mod pacing;
 mod peer_table;
 mod placing;
--- a/crates/gullspar_direct/src/membership.rs
+++ b/crates/gullspar_direct/src/membership.rs
@@ -7,6 +7,7 @@
 use gullspar_border::{PeerError, within};
 use gullspar_model::GroupName;
 
+use crate::news_source::NewsSource;
 use crate::proxy::SETTLE;
 use crate::{Beacon, Member, Phase, Proxy, Snapshot, SnapshotRequest};
 
@@ -99,23 +100,23 @@
     /// configuration that everybody else has left.
     pub(crate) async fn follow_peers(self: Rc<Self>) {
         let clock = Rc::clone(&self.borders.clock);
-        // From a random one on, so that not all ask the same instance.
-        let mut turn = self.borders.entropy.next_u64() as usize;
+        let mut source = NewsSource::starting_with(self.borders.entropy.next_u64());
         loop {
             let revision = (!self.goes_by_store()).then(|| self.directory.target_revision());
             let ahead = self.peers.ahead(self.directory.version(), revision, clock.boot_now());
-            if !ahead.is_empty() {
-                let from = ahead[turn % ahead.len()];
+            if let Some(from) = source.pick(&ahead, &self.own.data_centre) {
                 let req = SnapshotRequest {
                     catalogue_version: self.directory.version(),
                     target_revision: self.directory.target_revision(),
                 };
                 let deadline = clock.now() + FETCH_WITHIN;
                 match self.borders.peers.fetch(from, req, deadline).await {
-                    Ok(snapshot) => self.take(from, snapshot),
+                    Ok(snapshot) => {
+                        source.answered();
+                        self.take(from, snapshot);
+                    }
                     Err(PeerError::NoAnswer(reason)) => {
-                        // One whose beacons arrive may still be out of reach; the next one may not be.
-                        turn = turn.wrapping_add(1);
+                        source.failed();
                         log::info!(from = from.to_string().as_str(), reason = reason.as_str(); "G0714 an instance did not hand over its configuration");
                     }
                 }
@@ -146,7 +147,7 @@
         let now = self.borders.clock.boot_now();
         for view in &beacon.views {
             if let (Some(claim), Some(group)) = (&view.claim, self.group(&view.group)) {
-                group.claims().take(claim, now);
+                group.claims().take(claim, &beacon.from, now);
             }
         }
         self.peers.take(beacon, now);
--- /dev/null
+++ b/crates/gullspar_direct/src/news_source.rs
@@ -0,0 +1,44 @@
+//! Which instance is asked for what it has newer.
+
+use std::net::SocketAddr;
+
+use gullspar_model::DataCentre;
+
+use crate::Member;
+
+/// The choice among the instances that are ahead.
+///
+/// Near ones go first: a configuration that each of 63 instances fetched from anywhere cost a tenth more bytes
+/// between data centres. Each begins with another one, so that not all ask the same. One that did not answer is
+/// followed by the next, near or not: an instance whose beacons arrive may still be out of reach, and asked again and
+/// again it would keep the news from this one for as long as the cut lasts.
+pub(crate) struct NewsSource {
+    turn: usize,
+    /// Instances that did not answer since one did.
+    failed: usize,
+}
+
+impl NewsSource {
+    /// Begins with an instance that follows from `random`.
+    pub(crate) fn starting_with(random: u64) -> NewsSource {
+        NewsSource { turn: random as usize, failed: 0 }
+    }
+
+    /// The instance of `ahead` to ask now, seen from `own`.
+    pub(crate) fn pick(&self, ahead: &[Member], own: &DataCentre) -> Option<SocketAddr> {
+        let near: Vec<&Member> = ahead.iter().filter(|it| it.data_centre == *own).collect();
+        let all = ahead.iter().collect();
+        let choice = if self.failed == 0 && !near.is_empty() { near } else { all };
+        let at = self.turn.checked_rem(choice.len())?;
+        Some(choice[at].address)
+    }
+
+    pub(crate) fn answered(&mut self) {
+        self.failed = 0;
+    }
+
+    pub(crate) fn failed(&mut self) {
+        self.turn = self.turn.wrapping_add(1);
+        self.failed += 1;
+    }
+}
--- a/crates/gullspar_direct/src/peer_table.rs
+++ b/crates/gullspar_direct/src/peer_table.rs
@@ -268,12 +268,12 @@
     }
 
     /// The instances alive whose news are newer than `version` and `revision`.
-    pub fn ahead(&self, version: u64, revision: Option<u64>, now: BootInstant) -> Vec<SocketAddr> {
-        let ahead = |it: &Beacon| {
+    pub fn ahead(&self, version: u64, revision: Option<u64>, now: BootInstant) -> Vec<Member> {
+        let is_ahead = |it: &Beacon| {
             let list = revision.is_some_and(|known| it.target_revision > known && it.reaches_store);
-            (it.catalogue_version > version || list).then_some(it.address)
+            (it.catalogue_version > version || list).then(|| member(it))
         };
-        self.select(now, self.alive_for(), ahead)
+        self.select(now, self.alive_for(), is_ahead)
     }
 
     fn select<T>(
--- a/crates/gullspar_direct/tests/failover.rs
+++ b/crates/gullspar_direct/tests/failover.rs
@@ -9,7 +9,7 @@
 use gullspar_direct::Claim;
 use gullspar_model::Term;
 use gullspar_statement::FailureCode;
-use support::{BOUNDED, Fault, LATEST, World, leader_of, pause, run, until};
+use support::{BOUNDED, Fault, LATEST, LEASE, World, leader_of, pause, run, until};
 
 /// The time in which a failed leader is replaced: two checks without an answer, the views of the others, a
 /// claim, and the 300 ms that the fake promotion takes. Instances also look for 1.5 s after their start.
@@ -379,3 +379,33 @@
         assert_eq!(world.group.value("slot"), None);
     });
 }
+
+/// Symptom: statements reach a target seven seconds after it said that it leaves, although three instances of
+/// nine could promote another leader all the time.
+/// Events: an instance promotes; long after, its leader leaves while the store answers that instance no more; it
+/// tries in vain; the others find its claim, and wait for it.
+/// Cause: whoever read the claim took its holder for one that had just acted, so that its time alone began
+/// anew with every look and never ended while it lived.
+/// Evidence: the claim was 16 s old, no instance that reached the store logged a try, and the promotion was ordered by
+/// the holder itself, 0.8 s after the store answered it again and 6.2 s after the announcement.
+#[test]
+fn a_holder_that_the_store_turns_away_is_not_waited_for() {
+    run(async {
+        let world = World::new();
+        let proxies = world.instances(3).await;
+        let leave = |member: usize, revision: u64| {
+            world.group.leaves(member);
+            proxies.iter().for_each(|it| world.list_targets(it, revision));
+        };
+        leave(0, 2);
+        let led_by_another = |old: &str| world.group.leader() != Some(old.into());
+        until(REPLACED_WITHIN, "another member leads", || led_by_another("m0")).await;
+        let second = world.group.leader().unwrap();
+        let holder = world.claims.holder().unwrap();
+        let number = (1..=3).find(|it| support::member(*it).id == holder).unwrap();
+        world.claims.turn_away(number);
+        pause(LEASE.as_millis() as u64).await;
+        leave(if second == "m1".into() { 1 } else { 2 }, 3);
+        until(REPLACED_WITHIN, "a third one leads", || led_by_another(second.as_str())).await;
+    });
+}
--- a/crates/gullspar_direct/tests/knowledge.rs
+++ b/crates/gullspar_direct/tests/knowledge.rs
@@ -164,11 +164,29 @@
     let mut book = ClaimBook::new(Duration::from_secs(3));
     let note =
         |token, age_ms| ClaimNote { token: FencingToken(token), holder: "one".into(), age_ms };
-    book.take(&note(7, 500), at(1000));
+    let (holder, other) = ("one".into(), "other".into());
+    book.take(&note(7, 500), &holder, at(1000));
     assert_eq!(book.to_tell(at(1000)), Some(note(7, 500)));
-    book.take(&note(6, 0), at(1000));
-    book.take(&note(7, 0), at(1200));
+    book.take(&note(6, 0), &holder, at(1000));
+    book.take(&note(7, 0), &other, at(1200));
     assert_eq!(book.to_tell(at(1200)), Some(note(7, 700)));
+    book.take(&note(7, 600), &holder, at(1200));
+    assert_eq!(book.to_tell(at(1200)), Some(note(7, 600)), "it has acted again");
+    book.take(&note(7, 900), &holder, at(1200));
+    assert_eq!(book.to_tell(at(1200)), Some(note(7, 600)), "an older note of it");
+}
+
+/// A claim that is read again was not made again.
+#[test]
+fn a_claim_that_is_known_gets_no_younger_by_a_look() {
+    let mut book = ClaimBook::new(Duration::from_secs(3));
+    let other = "other".into();
+    book.saw(FencingToken(7), "one".into(), at(0));
+    assert!(!book.may_act(&other, at(1000), |_| true), "it may have been made just now");
+    book.saw(FencingToken(7), "one".into(), at(2000));
+    assert!(book.may_act(&other, at(3000), |_| true));
+    book.saw(FencingToken(8), "one".into(), at(3000));
+    assert!(!book.may_act(&other, at(3100), |_| true), "another claim");
 }
 
 /// Symptom: an instance that the store turns away serves by the configuration of yesterday.
--- a/crates/gullspar_direct/tests/news.rs
+++ b/crates/gullspar_direct/tests/news.rs
@@ -19,6 +19,13 @@
 /// In which time an instance has what others know, in milliseconds: a beacon, a look and a fetch.
 const TOLD_WITHIN: u64 = 1000;
 
+/// Waits until each instance has heard of all others itself, not only how many there are.
+async fn all_know_each_other(world: &World, proxies: &[Rc<Proxy>]) {
+    let knows_all =
+        |it: &Rc<Proxy>| it.peers.members(world.clock.boot_now()).len() + 1 == proxies.len();
+    until(HEARD_WITHIN, "all know each other", || proxies.iter().all(knows_all)).await;
+}
+
 /// Symptom: after the platform's store was silent, one instance in five of a large fleet refuses all callers of 23
 /// targets for half a second: "no primary of the group is known".
 /// Events: while the store is silent all instances try to read it; right after its return one that leaves it to
@@ -34,8 +41,7 @@
         let world = World::new();
         let proxies: Vec<Rc<Proxy>> = (1..=MANY).map(|it| world.instance(it)).collect();
         proxies.iter().for_each(|it| it.store_answered());
-        let all_known = || proxies.iter().all(|it| it.peers.counted(world.clock.boot_now()) == 18);
-        until(HEARD_WITHIN, "all know each other", all_known).await;
+        all_know_each_other(&world, &proxies).await;
         proxies.iter().for_each(|it| it.store_answered());
         let follower = proxies.iter().find(|it| it.follows_store()).unwrap();
         let other = proxies.iter().find(|it| !it.follows_store()).unwrap();
@@ -73,8 +79,7 @@
     run(async {
         let world = World::new();
         let proxies: Vec<Rc<Proxy>> = (1..=MANY).map(|it| world.instance(it)).collect();
-        let all_known = || proxies.iter().all(|it| it.peers.counted(world.clock.boot_now()) == 18);
-        until(HEARD_WITHIN, "all know each other", all_known).await;
+        all_know_each_other(&world, &proxies).await;
         assert!(proxies.iter().all(|it| it.follows_store()), "nobody reaches it, so that all try");
         let often = proxies.iter().filter(|it| it.store_pause().is_zero()).count();
         assert_eq!(often, 2, "two in the one data centre");
--- a/crates/gullspar_direct/tests/support/fake_claims.rs
+++ b/crates/gullspar_direct/tests/support/fake_claims.rs
@@ -1,11 +1,13 @@
 //! Claims in memory.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::rc::Rc;
 
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
 use gullspar_direct::{Claim, ClaimError, Claims, FencingToken, StandingClaim};
-use gullspar_model::GroupName;
+use gullspar_model::{GroupName, InstanceId};
 
 /// The store's objects for claims, with a counter that only grows.
 #[derive(Default)]
@@ -14,6 +16,8 @@
     counter: Cell<u64>,
     /// Calls fail without effect.
     pub away: Cell<bool>,
+    /// Instances by number whose calls alone fail without effect.
+    away_for: RefCell<BTreeSet<u16>>,
     /// Claims take effect and their answers are lost.
     pub loses_answers: Cell<bool>,
     pub calls: Cell<u64>,
@@ -30,6 +34,21 @@
         self.replace(None)
     }
 
+    /// The way of instance `number` to the store.
+    pub fn channel(self: &Rc<Self>, number: u16) -> Rc<dyn Claims> {
+        Rc::new(Channel { claims: Rc::clone(self), number })
+    }
+
+    /// Has the store turn instance `number` away.
+    pub fn turn_away(&self, number: u16) {
+        self.away_for.borrow_mut().insert(number);
+    }
+
+    /// The instance that holds the claim, if anybody does.
+    pub fn holder(&self) -> Option<InstanceId> {
+        Some(self.standing.borrow().as_ref()?.claim.as_ref()?.holder.clone())
+    }
+
     fn replace(&self, claim: Option<Claim>) -> FencingToken {
         self.counter.set(self.counter.get() + 1);
         let token = FencingToken(self.counter.get());
@@ -75,3 +94,34 @@
         async move { result }.boxed_local()
     }
 }
+
+/// One instance's way to the claims.
+struct Channel {
+    claims: Rc<FakeClaims>,
+    number: u16,
+}
+
+impl Channel {
+    fn refused<T: 'static>(&self) -> Option<LocalBoxFuture<'static, Result<T, ClaimError>>> {
+        let away = self.claims.away_for.borrow().contains(&self.number);
+        away.then(|| async { Err(ClaimError::Refused("turned away".to_owned())) }.boxed_local())
+    }
+}
+
+impl Claims for Channel {
+    fn standing<'a>(
+        &'a self,
+        group: &'a GroupName,
+    ) -> LocalBoxFuture<'a, Result<Option<StandingClaim>, ClaimError>> {
+        self.refused().unwrap_or_else(|| self.claims.standing(group))
+    }
+
+    fn claim<'a>(
+        &'a self,
+        group: &'a GroupName,
+        claim: Claim,
+        over: Option<FencingToken>,
+    ) -> LocalBoxFuture<'a, Result<FencingToken, ClaimError>> {
+        self.refused().unwrap_or_else(|| self.claims.claim(group, claim, over))
+    }
+}
--- a/crates/gullspar_direct/tests/support/mod.rs
+++ b/crates/gullspar_direct/tests/support/mod.rs
@@ -135,7 +135,7 @@
             clock: Rc::clone(&self.clock),
             entropy: Rc::new(SystemEntropy),
             dialer: self.group.dialer(address.port()),
-            claims: Rc::clone(&self.claims) as _,
+            claims: self.claims.channel(address.port()),
             promoter: Rc::clone(&self.promoter) as _,
             peers: self.network.channel(address),
             registry: Rc::clone(&self.registry) as _,
