--- a/crates/gullspar_direct/src/cut_off.rs
+++ b/crates/gullspar_direct/src/cut_off.rs
@@ -11,12 +11,16 @@
 
 impl Proxy {
     /// Whether waiting for a leader of `group` that this instance can use is in vain: the others use it, or
-    /// this instance is cut off from them. Refused at once, a caller's next try reaches another instance.
+    /// this instance is cut off from them, or it leaves and nobody is about to take its place. Refused at once, a
+    /// caller's next try reaches another instance or comes when another one leads.
     pub(crate) fn is_hopeless(&self, group: &Group) -> bool {
-        if group.working_leader().is_some() {
+        if group.serving_leader().is_some() {
             return false;
         }
         let now = self.borders.clock.boot_now();
+        if group.working_leader().is_some() {
+            return !group.is_being_replaced(now);
+        }
         let led = group
             .leader()
             .is_some_and(|it| self.peers.others_see_lead(&group.name, &it.member, now));
--- a/crates/gullspar_direct/src/group.rs
+++ b/crates/gullspar_direct/src/group.rs
@@ -113,6 +113,11 @@
         self.target(&member).filter(|it| !it.is_dark())
     }
 
+    /// The leader's target, if it may be given new work.
+    pub(crate) fn serving_leader(&self) -> Option<Rc<Target>> {
+        self.working_leader().filter(|it| !it.is_past_leaving())
+    }
+
     /// The highest term in which a leader answered.
     pub(crate) fn newest_term(&self) -> Term {
         self.newest_term.get()
--- a/crates/gullspar_direct/src/home_groups.rs
+++ b/crates/gullspar_direct/src/home_groups.rs
@@ -71,6 +71,7 @@
         if *target.spec() != *spec {
             if spec.leaving && !target.spec().leaving {
                 log::info!(member = spec.member.as_str(), group = spec.group.as_str(); "G0713 a target is leaving");
+                self.end_work_of(&target);
             }
             target.set_spec(spec);
             group.notify();
@@ -79,12 +80,20 @@
 
     pub(crate) fn new_target(&self, group: &Rc<Group>, spec: &Rc<TargetSpec>) -> Rc<Target> {
         let target = Target::new(Rc::clone(spec), &self.borders);
+        if spec.leaving {
+            self.end_work_of(&target);
+        }
         group.add(Rc::clone(&target));
         let watch = target_watch::watch(self.borders.clone(), Rc::clone(group), Rc::clone(&target));
         compio::runtime::spawn(watch).detach();
         target
     }
 
+    /// Gives a target that leaves no new work once its time for that is over.
+    fn end_work_of(&self, target: &Target) {
+        target.set_work_ends_at(self.borders.clock.boot_now().plus(self.own.leaving_serves));
+    }
+
     /// Serves `group` here for a while, whoever its homes are.
     ///
     /// Instances learn of each other at different moments. One that takes this instance for a home hands
--- a/crates/gullspar_direct/src/placing.rs
+++ b/crates/gullspar_direct/src/placing.rs
@@ -53,7 +53,7 @@
 
 fn is_able(group: &Group, target: &Target, wanted: &Wanted<'_>) -> bool {
     if group.is_leader(&target.member()) {
-        return true;
+        return !target.is_past_leaving();
     }
     let Some(point) = wanted.at_least else { return false };
     !target.spec().leaving && !target.is_behind(point, wanted.now)
--- a/crates/gullspar_direct/src/proxy.rs
+++ b/crates/gullspar_direct/src/proxy.rs
@@ -34,6 +34,8 @@
     pub address: SocketAddr,
     /// How long the last holder of a group's claim is alone in promoting there.
     pub claim_lease: Duration,
+    /// How long after its announcement a target that leaves is given new work.
+    pub leaving_serves: Duration,
 }
 
 /// Everything that serving callers needs.
--- a/crates/gullspar_direct/src/target.rs
+++ b/crates/gullspar_direct/src/target.rs
@@ -62,6 +62,8 @@
     /// What statements that failed here count, less those that did not.
     failures: Cell<u32>,
     behind: Cell<Option<(LogPoint, Instant)>>,
+    /// When it gets no new work any more, as it leaves.
+    work_ends_at: Cell<Option<BootInstant>>,
     pub(crate) removed: Cell<bool>,
     /// A write waits for this replica and has it asked.
     pub(crate) looking: Cell<bool>,
@@ -92,6 +94,7 @@
             avoid_until: Cell::new(None),
             failures: Cell::new(0),
             behind: Cell::new(None),
+            work_ends_at: Cell::new(None),
             removed: Cell::new(false),
             looking: Cell::new(false),
             clock: Rc::clone(&borders.clock),
@@ -104,7 +107,21 @@
         let asked = self.clock.now();
         let permit = self.admission.enter_by(req.priority, req.objective, req.deadline).await?;
         self.stats.place(self.clock.now().saturating_duration_since(asked));
-        Ok(permit)
+        // It may have waited for long.
+        if self.is_past_leaving() { Err(NotRun::NoPrimary) } else { Ok(permit) }
+    }
+
+    /// Notes that it gets no new work after `at`, as it leaves.
+    pub(crate) fn set_work_ends_at(&self, at: BootInstant) {
+        self.work_ends_at.set(Some(at));
+    }
+
+    /// Whether it said so long ago that it leaves that it gets no new work any more.
+    ///
+    /// A leader that leaves serves until it is replaced. Where nobody can take its place it would be given work
+    /// until it ends, and what it then runs is cut off; callers are refused instead, as not run.
+    pub(crate) fn is_past_leaving(&self) -> bool {
+        self.work_ends_at.get().is_some_and(|at| at <= self.clock.boot_now())
     }
 
     pub(crate) fn spec(&self) -> Rc<TargetSpec> {
--- a/crates/gullspar_direct/src/transaction.rs
+++ b/crates/gullspar_direct/src/transaction.rs
@@ -223,7 +223,7 @@
         if self.read_only && req.freshness != Freshness::Latest {
             return proxy.place(&self.group, req, tried);
         }
-        let target = self.group.working_leader().filter(|it| !tried.contains(&it.member()))?;
+        let target = self.group.serving_leader().filter(|it| !tried.contains(&it.member()))?;
         Some(Place { target, at_least: None, reading_age: None })
     }
 
--- a/crates/gullspar_direct/src/write_path.rs
+++ b/crates/gullspar_direct/src/write_path.rs
@@ -69,7 +69,7 @@
         let clock = &self.borders.clock;
         loop {
             let changed = group.listen();
-            if let Some(leader) = group.working_leader() {
+            if let Some(leader) = group.serving_leader() {
                 return Some(leader);
             }
             if self.is_hopeless(group) {
--- a/crates/gullspar_direct/tests/failover.rs
+++ b/crates/gullspar_direct/tests/failover.rs
@@ -9,7 +9,7 @@
 use gullspar_direct::Claim;
 use gullspar_model::Term;
 use gullspar_statement::FailureCode;
-use support::{BOUNDED, Fault, LATEST, LEASE, World, leader_of, pause, run, until};
+use support::{BOUNDED, Fault, LATEST, LEASE, LEAVING_SERVES, World, leader_of, pause, run, until};
 
 /// The time in which a failed leader is replaced: two checks without an answer, the views of the others, a
 /// claim, and the 300 ms that the fake promotion takes. Instances also look for 1.5 s after their start.
@@ -409,3 +409,35 @@
         until(REPLACED_WITHIN, "a third one leads", || led_by_another(second.as_str())).await;
     });
 }
+
+/// Symptom: a target gets statements until it ends, long after it said that it leaves.
+/// Events: a leader leaves while nobody can take its place.
+/// Cause: it was given work for as long as it led.
+#[test]
+fn a_leaving_leader_without_a_successor_gets_no_new_work_in_the_end() {
+    run(async {
+        let world = World::new();
+        let proxies = world.instances(2).await;
+        [1, 2].into_iter().for_each(|it| world.group.set(it, Fault::Dark));
+        pause(1000).await;
+        world.group.leaves(0);
+        proxies.iter().for_each(|it| world.list_targets(it, 2));
+        let caller = world.caller(&proxies[0], LATEST).await;
+        caller.done("WRITE slot mine").await;
+        pause(LEAVING_SERVES.as_millis() as u64).await;
+        let asked = std::time::Instant::now();
+        for statement in ["WRITE slot again", "READ slot", "BEGIN"] {
+            if statement == "BEGIN" {
+                caller.done(statement).await;
+                assert_eq!(caller.refused("READ slot").await, FailureCode::Congested);
+            } else {
+                assert_eq!(caller.refused(statement).await, FailureCode::Congested);
+            }
+        }
+        assert!(asked.elapsed().as_millis() < 300, "refused at once, not {:?}", asked.elapsed());
+        assert_eq!(world.group.value("slot"), Some("mine".to_owned()));
+        [1, 2].into_iter().for_each(|it| world.group.mend(it));
+        until(REPLACED_WITHIN, "another leads", || world.group.leader() != Some("m0".into())).await;
+        world.caller(&proxies[1], LATEST).await.done("WRITE slot later").await;
+    });
+}
--- a/crates/gullspar_direct/tests/support/mod.rs
+++ b/crates/gullspar_direct/tests/support/mod.rs
@@ -53,6 +53,9 @@
 /// How long the last holder of a claim is alone.
 pub const LEASE: Duration = Duration::from_millis(1500);
 
+/// How long a target that leaves is given new work.
+pub const LEAVING_SERVES: Duration = Duration::from_millis(1200);
+
 /// How long after their start instances judge leaders, in milliseconds: 1,500, and some for the way there.
 const JUDGE_AFTER_MS: u64 = 1700;
 
@@ -141,7 +144,14 @@
             registry: Rc::clone(&self.registry) as _,
             stats: Rc::new(Stats::new(&opentelemetry::global::meter("test"))),
         };
-        let own = Identity { id, data_centre, strength, address, claim_lease: LEASE };
+        let own = Identity {
+            id,
+            data_centre,
+            strength,
+            address,
+            claim_lease: LEASE,
+            leaving_serves: LEAVING_SERVES,
+        };
         let proxy = Proxy::new(own, vec![SocketAddr::from(([127, 0, 0, 1], seed))], borders);
         self.network.join(address, Rc::clone(&proxy));
         if let Some(catalogue) = catalogue {
--- a/crates/gullspar_settings/src/direct_settings.rs
+++ b/crates/gullspar_settings/src/direct_settings.rs
@@ -37,6 +37,8 @@
         /// Milliseconds for which the instance that promoted last in a group is alone in promoting there,
         /// while it lives.
         pub claim_lease_ms: u64 = "3000",
+        /// Milliseconds after its announcement for which a target that leaves may be given new work.
+        pub leaving_target_ms: u64 = "7000",
         /// Seconds between being told to end and being killed.
         pub grace_s: Seconds = "6",
     }
