--- a/crates/gullspar/tests/documents.rs
+++ b/crates/gullspar/tests/documents.rs
@@ -119,6 +119,8 @@
         ("{{cloudApi.address|json}}", "\"10.200.0.160:8783\""),
         ("{{#bounds.leaseMs}}{{.|json}}{{/bounds.leaseMs}}", ""),
         ("{{^bounds.leaseMs}}3000{{/bounds.leaseMs}}", "3000"),
+        ("{{#bounds.drainMs}}{{.|json}}{{/bounds.drainMs}}", "7100"),
+        ("{{^bounds.drainMs}}7000{{/bounds.drainMs}}", ""),
         ("{{bounds.graceS|json}}", "6.5"),
     ];
     for (placeholder, value) in values {
@@ -129,6 +131,7 @@
     assert_eq!(settings.seeds.len(), 2);
     assert_eq!(settings.processor_cores.thousandths(), 120);
     assert_eq!(settings.grace_s.duration().as_millis(), 6500);
+    assert_eq!(settings.leaving_target_ms, 7100);
 }
 
 #[test]
