--- a/crates/gullspar_direct/tests/news.rs
+++ b/crates/gullspar_direct/tests/news.rs
@@ -26,8 +26,8 @@
     until(HEARD_WITHIN, "all know each other", || proxies.iter().all(knows_all)).await;
 }
 
-/// Symptom: after the platform's store was silent, one instance in five of a large fleet refuses all callers of 23
-/// targets for half a second: "no primary of the group is known".
+/// Symptom: after the platform's store was silent, one instance in five of a large fleet refuses callers of 23
+/// targets: "no primary of the group is known".
 /// Events: while the store is silent all instances try to read it; right after its return one that leaves it to
 /// others reads the list, in which most targets are missing, as their entries have lapsed; the targets are listed
 /// again within two seconds; the instances that follow the store see that, this one drops the targets.
