--- a/crates/gullspar_direct/tests/homes.rs
+++ b/crates/gullspar_direct/tests/homes.rs
@@ -6,9 +6,10 @@
 
 use std::rc::Rc;
 
-use gullspar_direct::{Member, Phase, Proxy};
+use gullspar_direct::{Catalogue, Member, Phase, Proxy, serve_caller};
+use gullspar_model::ServiceName;
 use gullspar_statement::FailureCode;
-use support::{BOUNDED, LATEST, World, pause, run, until};
+use support::{BOUNDED, FakeCaller, LATEST, World, pause, run, until};
 
 /// Connections to each target that the configuration allows in these tests.
 const CONNECTIONS: u32 = 10;
@@ -16,6 +17,9 @@
 /// More instances than can each have two of the connections.
 const INSTANCES: u16 = 8;
 
+/// A service that a later configuration adds.
+const ADDED: &str = "added";
+
 /// A larger fleet, and connections of which each of it could have one.
 const FLEET: u16 = 20;
 const MANY_CONNECTIONS: u32 = 44;
@@ -220,3 +224,51 @@
         until(1000, "it serves", || !proxy.groups().is_empty()).await;
     });
 }
+
+/// A configuration that adds `ADDED` to the one that all go by.
+fn with_added_service(version: u64) -> Catalogue {
+    let mut catalogue = support::with_connections(version, CONNECTIONS);
+    let route = catalogue.routes[&ServiceName::new(LATEST)].clone();
+    catalogue.routes.insert(ServiceName::new(ADDED), route);
+    catalogue
+}
+
+/// Symptom: an instance refuses with "no such service" what it has had in its configuration for seconds.
+/// Events: a home was suspended or cut off and is back with an old configuration; another instance hands on a
+/// session for a service that was added meanwhile; the home refuses it, and the refusal is passed on.
+/// Cause: a home answered by what it went by itself, whatever the instance knew that asked it.
+/// Evidence: the refusal came 6 s after the acknowledgement from an instance that went by version 17 and logged none;
+/// a home in its data centre logged G0730 for that service with version 9 at that moment, and had version 17 0.1 s later.
+#[test]
+fn a_home_with_an_older_configuration_refuses_nobody_by_it() {
+    run(async {
+        let world = World::new();
+        let proxies = many(&world).await;
+        let entry = proxies.iter().find(|it| it.groups().is_empty()).unwrap();
+        entry.directory.apply_catalogue(with_added_service(3));
+        // The home hears of it within a beacon and a fetch.
+        world.caller(entry, ADDED).await.done("WRITE slot mine").await;
+    });
+}
+
+/// The same with homes that can't fetch what they lack: nothing ran, and the caller may try elsewhere.
+#[test]
+fn a_home_that_stays_behind_takes_no_session_that_was_handed_on() {
+    run(async {
+        let world = World::new();
+        let proxies = many(&world).await;
+        for from in 1..=INSTANCES {
+            for to in 1..=INSTANCES {
+                if !proxies[from as usize - 1].groups().is_empty() {
+                    world.network.cut_one_way(from, to);
+                }
+            }
+        }
+        let entry = proxies.iter().find(|it| it.groups().is_empty()).unwrap();
+        entry.directory.apply_catalogue(with_added_service(3));
+        let (caller, link) = FakeCaller::new();
+        compio::runtime::spawn(serve_caller(Rc::clone(entry), Box::new(link))).detach();
+        let refused = caller.opening_refused(ADDED).await;
+        assert_eq!(refused, FailureCode::Congested);
+    });
+}
--- a/crates/gullspar_direct/tests/support/fake_caller.rs
+++ b/crates/gullspar_direct/tests/support/fake_caller.rs
@@ -51,6 +51,13 @@
         assert_eq!(self.next().await.map(|it| it.result), Some(Ok(None)), "the session opens");
     }
 
+    /// Opens a session that must be refused; gives the code.
+    pub async fn opening_refused(&self, service: &str) -> FailureCode {
+        self.send(CallerMessage::Open { service: service.into() });
+        let answer = self.next().await.expect("the session answers");
+        answer.result.expect_err(service).code
+    }
+
     /// Sends a statement without waiting for its answer.
     pub fn begin_to_say(&self, text: &str) {
         let id = NEXT_ID.fetch_add(1, Ordering::Relaxed).to_string();
