Send no read to a replica that its home no longer hears

Cause, from a trial that printed each try: the read went first to a replica beyond the cut, whose home is by then an instance on this side, as those beyond are forgotten. That home dialled the replica for as long as the caller had time (1.999 s of 2 s); the replica at hand was asked with 0.7 ms left.

Mend: a home that has not heard a replica for as long as counts as a failure (and was not paused itself) refuses the read at once (G0309), and the router goes on to the next. The same silence deposes a primary; the judgement is now one function for both.

Ruled out: a fixed bound on the dial. It would have to be longer than a far target needs and shorter than any caller's time, and would not help where a connection is open to a target that hangs. Left: in the first 400 ms of a silence a dial may still wait, as nothing tells yet.

--- a/crates/gullspar_group/src/group_watch.rs
+++ b/crates/gullspar_group/src/group_watch.rs
@@ -352,13 +352,20 @@
         let Some(leader) = self.leader().filter(|it| it.term == term) else {
             return PrimaryView::NoView;
         };
-        let now = self.now();
-        if now < self.trust_silence_after.get() {
+        if self.now() < self.trust_silence_after.get() || self.view(&leader.member).is_none() {
             return PrimaryView::NoView;
         }
-        let Some(view) = self.view(&leader.member) else { return PrimaryView::NoView };
+        if self.is_silent(&leader.member) { PrimaryView::Failed } else { PrimaryView::Answers }
+    }
+
+    /// Whether a member was not heard of for so long that it counts as failed.
+    ///
+    /// Never after a pause of this process, whose own silence that may have been.
+    pub fn is_silent(&self, member: &MemberName) -> bool {
+        let now = self.now();
+        let Some(view) = self.view(member) else { return false };
         let patience =
             if view.refusing { self.timing.refused_after } else { self.timing.failed_after };
-        if now > view.heard_at + patience { PrimaryView::Failed } else { PrimaryView::Answers }
+        now >= self.trust_silence_after.get() && now > view.heard_at + patience
     }
 }
--- a/crates/gullspar_lab/tests/failover.rs
+++ b/crates/gullspar_lab/tests/failover.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use gullspar_lab::{FaultChange, TargetFault, Verdict, Workload, WorkloadSettings};
 use gullspar_model::DataCentre;
@@ -273,6 +273,42 @@
     });
 }
 
+/// Symptom: a caller that accepts any age waits out its deadline and is refused, although a replica at
+/// hand could answer.
+/// Events: the replica at hand was slow for a while, so that reads went to another data centre's. Then
+/// their own data centre is cut off and forgets the instances beyond the cut; of those that are left one
+/// becomes the home of the replica out of reach, and a read is sent to that one first.
+/// Cause: the home dialled the replica, which it had not heard for seconds, for as long as the caller had
+/// time, and left none for the replica at hand.
+#[test]
+fn a_read_does_not_wait_for_a_replica_that_its_home_no_longer_hears() {
+    // With one instance in each data centre, the one that is left is home of everything.
+    let lab = LabUnderTest::with(|settings| settings.instances.truncate(3));
+    let primary = place(&lab, &lab.primary());
+    let index =
+        lab.lab.instances.iter().position(|it| it.addresses.data_centre != primary).unwrap();
+    let data_centre = lab.lab.instances[index].addresses.data_centre.clone();
+    let members = ["core/m1", "core/m2", "core/m3"];
+    let near = members.into_iter().find(|it| place(&lab, it) == data_centre).unwrap();
+    run(async {
+        let mut any = lab.connect(index, "any").await;
+        let read = "SELECT id FROM doors";
+        set(&lab, near, TargetFault::Slow(100));
+        for _ in 0..10 {
+            assert_eq!(any.query(read).await.unwrap().verdict(), Verdict::Done);
+        }
+        set(&lab, near, TargetFault::None);
+        lab.lab.faults.apply(FaultChange::Isolate { data_centre: data_centre.clone(), cut: true });
+        // Longer than an instance that is not heard of is remembered.
+        compio::time::sleep(Duration::from_millis(3000)).await;
+        let asked = Instant::now();
+        let answer = any.query(read).await.unwrap();
+        let took = asked.elapsed();
+        assert_eq!(answer.verdict(), Verdict::Done, "{:?} after {took:?}", answer.error);
+        assert!(took < Duration::from_millis(1000), "answered after {took:?}");
+    });
+}
+
 /// Symptom: a replica that leaves goes on getting reads.
 /// Events: it is configured to leave while tolerant callers read all the time.
 #[test]
--- a/crates/gullspar_target/src/local_lane.rs
+++ b/crates/gullspar_target/src/local_lane.rs
@@ -103,6 +103,12 @@
         let watch = watch.in_use();
         let term = check_leadership(&watch, head)?;
         if !head.on_primary {
+            if watch.is_silent(&head.member) {
+                // A dial into a cut, or a statement to a target that hangs, would use up the time in
+                // which another target could serve the read.
+                log::debug!("G0309 {} of {} is silent and takes no read", head.member, head.group);
+                return Err(NotRun::Unreachable);
+            }
             let clock = &self.pools.fleet.borders().clock;
             let until = deadline.min(clock.now() + Duration::from_millis(head.requirement.wait_ms));
             let max_age = head.requirement.max_age_ms.map(Duration::from_millis);
