Give the choice of replicas a file and tests of its own

`router.rs` held, beside the way of a request, what was seen of each target and the order of replicas that follows from it: 434 lines. Nothing it decides has changed. Two comments said more than the code does: a replica that is behind is not avoided, and one that is avoided is not tried when nothing else is left.

--- a/crates/gullspar_caller/src/lib.rs
+++ b/crates/gullspar_caller/src/lib.rs
@@ -23,6 +23,7 @@
 mod statement;
 mod statement_visitor;
 mod stats;
+mod target_scores;
 
 pub use caller_server::{CallerServer, CallerSettings};
 pub use cancel_registry::CancelRegistry;
@@ -32,3 +33,4 @@
 pub use router::Router;
 pub use statement::{Statement, StatementKind};
 pub use stats::{CallerStats, RequestKind};
+pub use target_scores::TargetScores;
--- a/crates/gullspar_caller/src/router.rs
+++ b/crates/gullspar_caller/src/router.rs
@@ -1,7 +1,5 @@
 //! Chooses where a request goes, and whether it is tried again.
 
-use std::cell::RefCell;
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -9,15 +7,14 @@
 use gullspar_border::{jittered, within};
 use gullspar_fleet::Fleet;
 use gullspar_model::{
-    Access, DataCentre, GroupSpec, InstanceRecord, MemberName, MemberSpec, NotRun, Outcome,
-    TargetKey, Unknown,
+    Access, GroupSpec, InstanceRecord, MemberName, MemberSpec, NotRun, Outcome, TargetKey, Unknown,
 };
 use gullspar_target::{Canceller, FrameSink, Lane, Unit};
 use gullspar_wire::LaneUnit;
 
 use crate::caller_sink::CallerSink;
 use crate::session_state::HeldLane;
-use crate::{LanePool, RetryBudget};
+use crate::{LanePool, RetryBudget, TargetScores};
 
 /// How long opening a lane may take before another way is tried.
 const LANE_WITHIN: Duration = Duration::from_millis(300);
@@ -25,38 +22,13 @@
 /// A home that answered within this time needs not be asked whether it is there.
 const HEARD_LATELY: Duration = Duration::from_millis(250);
 
-/// A target that failed or was behind is avoided for so long, unless nothing else is left.
-const AVOID_FOR: Duration = Duration::from_millis(100);
-
-/// A target whose home can't be reached is avoided for so long.
-const AVOID_UNREACHABLE_FOR: Duration = Duration::from_millis(1500);
-
 /// How long the home of a superseded primary may take to tell the fate of what it was running.
 const SUPERSEDED_GRACE: Duration = Duration::from_millis(150);
 
-/// Replicas tried for one read before the primary is.
-const REPLICA_TRIES: usize = 2;
-
 /// First and longest pause before a refused request is tried again.
 const FIRST_PAUSE: Duration = Duration::from_millis(20);
 const LONGEST_PAUSE: Duration = Duration::from_millis(200);
 
-/// One read in this many goes to a random replica, so that one that was slow is noticed when it has
-/// recovered.
-const EXPLORE_EVERY: u64 = 32;
-
-/// Weight of the newest sample in the running mean of a target's latency, as one part in this many.
-const MEAN_WEIGHT: u32 = 8;
-
-/// What was seen of a target lately.
-#[derive(Clone, Copy, Default)]
-struct TargetScore {
-    mean_latency: Duration,
-    /// Requests of this instance that are on their way there.
-    in_flight: u32,
-    avoid_until: Option<Instant>,
-}
-
 /// The state of knowledge that a request was routed by.
 #[derive(Clone, Copy, PartialEq, Eq)]
 struct Knowledge {
@@ -89,13 +61,18 @@
     fleet: Rc<Fleet>,
     lanes: Rc<LanePool>,
     budget: RetryBudget,
-    scores: RefCell<HashMap<TargetKey, TargetScore>>,
+    scores: TargetScores,
 }
 
 impl Router {
     /// A router over the lanes of `lanes`.
     pub fn new(fleet: Rc<Fleet>, lanes: Rc<LanePool>) -> Rc<Router> {
-        Rc::new(Router { fleet, lanes, budget: RetryBudget::default(), scores: RefCell::default() })
+        Rc::new(Router {
+            fleet,
+            lanes,
+            budget: RetryBudget::default(),
+            scores: TargetScores::default(),
+        })
     }
 
     /// Gives back a lane that is no longer needed.
@@ -181,7 +158,11 @@
     ) -> Routing {
         let primary = self.primary(&routed.group.name);
         if routed.replica_allowed {
-            for replica in self.replicas(routed.group, primary.as_ref()) {
+            let borders = self.fleet.borders();
+            let (own, now) = (self.fleet.data_centre(), borders.clock.now());
+            let entropy = &*borders.entropy;
+            let able = self.scores.replicas(routed.group, primary.as_ref(), &own, entropy, now);
+            for replica in able {
                 routed.unit.head.on_primary = false;
                 let acknowledge = std::mem::replace(&mut routed.unit.head.acknowledge, false);
                 let routing = self.try_one(routed, replica, sink, on_lane).await;
@@ -208,55 +189,6 @@
         self.fleet.config.group(group).and_then(|it| it.object.primary.clone())
     }
 
-    /// The replicas worth trying for a read, best first.
-    fn replicas<'g>(
-        &self,
-        group: &'g GroupSpec,
-        primary: Option<&MemberName>,
-    ) -> Vec<&'g MemberSpec> {
-        let now = self.fleet.borders().clock.now();
-        let own = self.fleet.data_centre();
-        let entropy = &self.fleet.borders().entropy;
-        let mut able: Vec<&MemberSpec> = group
-            .members
-            .iter()
-            .filter(|it| Some(&it.name) != primary && !it.leaving)
-            .filter(|it| self.score(group, &it.name).avoid_until.is_none_or(|at| at <= now))
-            .collect();
-        if entropy.next_u64().is_multiple_of(EXPLORE_EVERY) && !able.is_empty() {
-            let turn = entropy.next_u64() as usize % able.len();
-            able.rotate_left(turn);
-        } else {
-            able.sort_by_cached_key(|it| self.expected_latency(group, it, &own));
-        }
-        able.truncate(REPLICA_TRIES);
-        able
-    }
-
-    /// What a read will probably take there; one not tried yet counts as near when it is.
-    ///
-    /// The mean latency alone lags behind: all reads of a moment would go to the replica that was best
-    /// a moment ago, and while it is swamped the others stand idle. Requests on their way count at once.
-    fn expected_latency(
-        &self,
-        group: &GroupSpec,
-        member: &MemberSpec,
-        own: &DataCentre,
-    ) -> Duration {
-        let score = self.score(group, &member.name);
-        let mean = score.mean_latency;
-        if mean.is_zero() && member.data_centre != *own {
-            Duration::from_millis(1)
-        } else {
-            mean * (score.in_flight + 1)
-        }
-    }
-
-    fn score(&self, group: &GroupSpec, member: &MemberName) -> TargetScore {
-        let key = TargetKey::new(&group.name, member);
-        self.scores.borrow().get(&key).copied().unwrap_or_default()
-    }
-
     async fn try_one(
         &self,
         routed: &mut Routed<'_>,
@@ -275,10 +207,10 @@
         routed.unit.head.member = member.name.clone();
         let remaining = routed.deadline.saturating_duration_since(started);
         routed.unit.head.remaining_ms = remaining.as_millis() as u64;
-        self.depart(&key);
+        self.scores.depart(&key);
         let (outcome, lane) = self.run_on(&home, routed, sink, on_lane).await;
         let took = clock.now().saturating_duration_since(started);
-        self.learn(&key, &outcome, took, clock.now());
+        self.scores.learn(&key, &outcome, took, clock.now());
         Routing { outcome, lane, on_primary, target: Some(key) }
     }
 
@@ -373,40 +305,6 @@
             Either::Right(_) => None,
         }
     }
-
-    fn depart(&self, key: &TargetKey) {
-        let mut scores = self.scores.borrow_mut();
-        if !scores.contains_key(key) {
-            scores.insert(key.clone(), TargetScore::default());
-        }
-        if let Some(score) = scores.get_mut(key) {
-            score.in_flight += 1;
-        }
-    }
-
-    fn learn(&self, key: &TargetKey, outcome: &Outcome, took: Duration, now: Instant) {
-        let mut scores = self.scores.borrow_mut();
-        let Some(score) = scores.get_mut(key) else { return };
-        score.in_flight = score.in_flight.saturating_sub(1);
-        match outcome {
-            Outcome::Done { .. } => {
-                let mean = score.mean_latency;
-                score.mean_latency = if mean.is_zero() {
-                    took
-                } else {
-                    (mean * (MEAN_WEIGHT - 1) + took) / MEAN_WEIGHT
-                };
-                score.avoid_until = None;
-            }
-            Outcome::NotRun(NotRun::Unreachable) => {
-                score.avoid_until = Some(now + AVOID_UNREACHABLE_FOR);
-            }
-            // Too old for one caller's class is good enough for another's: avoided by all, a cut-off data
-            // centre's only target would refuse callers that accept any age.
-            Outcome::NotRun(NotRun::Behind) => {}
-            _ => score.avoid_until = Some(now + AVOID_FOR),
-        }
-    }
 }
 
 /// What is known of a unit whose primary was superseded while it ran.
