--- a/crates/gullspar_direct/tests/homes.rs
+++ b/crates/gullspar_direct/tests/homes.rs
@@ -41,6 +41,11 @@
     proxies.iter().filter(|it| !it.groups().is_empty()).map(Rc::clone).collect()
 }
 
+/// An instance that is home of nothing, and hands its sessions on.
+fn no_home(proxies: &[Rc<Proxy>]) -> &Rc<Proxy> {
+    proxies.iter().find(|it| it.groups().is_empty()).unwrap()
+}
+
 /// Symptom: with many instances, one statement in five is refused and targets turn away thousands of
 /// connections a second.
 /// Cause: every instance opens its own connections, and there are not enough for all.
@@ -77,7 +82,7 @@
         let world = World::new();
         let proxies = many(&world).await;
         let homes = homes(&proxies);
-        let other = proxies.iter().find(|it| it.groups().is_empty()).unwrap();
+        let other = no_home(&proxies);
         world.group.work_ms.set(150);
         let busy = world.caller(other, LATEST).await;
         let idle = world.caller(other, BOUNDED).await;
@@ -98,7 +103,7 @@
     run(async {
         let world = World::new();
         let proxies = many(&world).await;
-        let other = proxies.iter().find(|it| it.groups().is_empty()).unwrap();
+        let other = no_home(&proxies);
         world.group.work_ms.set(300);
         let caller = world.caller(other, LATEST).await;
         caller.begin_to_say("WRITE slot mine");
@@ -199,7 +204,7 @@
         let world = World::new();
         let proxies = many(&world).await;
         let at = proxies.iter().position(|it| !it.groups().is_empty()).unwrap();
-        let other = proxies.iter().find(|it| it.groups().is_empty()).unwrap();
+        let other = no_home(&proxies);
         world.network.cut(at as u16 + 1);
         let caller = world.caller(other, LATEST).await;
         until(1000, "a stand-in serves", || homes(&proxies).len() == 2).await;
@@ -244,7 +249,7 @@
     run(async {
         let world = World::new();
         let proxies = many(&world).await;
-        let entry = proxies.iter().find(|it| it.groups().is_empty()).unwrap();
+        let entry = no_home(&proxies);
         entry.directory.apply_catalogue(with_added_service(3));
         // The home hears of it within a beacon and a fetch.
         world.caller(entry, ADDED).await.done("WRITE slot mine").await;
