Add a membership whose cost and time to notice do not grow with the fleet

Cause: heartbeats went to ten instances by turns, so that the silence that means something grew with the fleet: 3.9 s at 85 instances, 12.3 s at 295, 43 s at 2,169 (by its formula). A data centre that was cut off for 6 s never knew it at 295.

Change: each instance has eight contacts, its neighbours on four rings that all work out alike; a silent contact is suspected, all are told, and it is dead unless it objects. Whether an instance is cut off follows from the part of the contacts that is silent, its own and those of the contacts it hears. The package makes no input or output.

With 500 ms to object, looked at every 100 ms, one busy instance of nine was taken for dead: a suspect has 600 ms now, and one that is heard has as long again. Not run to an end yet: 2,169 instances, and ten minutes.

Ruled out: three rings in place of four (six contacts): of a third of all instances cut off together, one to four of the others took themselves for cut off; keeping silent contacts by an instance's own count alone did the same.

--- /dev/null
+++ b/crates/gullspar_membership/src/class.rs
@@ -0,0 +1,11 @@
+//! Near and far instances.
+
+gullspar_model::value! {
+    /// Where another instance is, seen from this one.
+    pub enum Class {
+        /// In the same data centre.
+        Near,
+        /// In another data centre.
+        Far,
+    }
+}
--- /dev/null
+++ b/crates/gullspar_membership/src/lib.rs
@@ -0,0 +1,25 @@
+//! Which instances there are, and which of them this one reaches.
+//!
+//! What an instance sends, and how soon it notices a death or a cut, does not depend on how many instances there
+//! are; see `docs/design/membership.md`. Nothing here does input or output: the caller sends and receives.
+
+mod class;
+mod gossip;
+mod link;
+mod link_counts;
+mod links;
+mod member;
+mod member_record;
+mod membership;
+mod population;
+mod rings;
+mod roster;
+mod timing;
+
+pub use class::Class;
+pub use gossip::Gossip;
+pub use link_counts::{LinkCounts, Tally};
+pub use member::Member;
+pub use member_record::{MemberRecord, MemberState};
+pub use membership::{Membership, Taken};
+pub use timing::{COUNTS_FOR, HEARTBEAT_EVERY, HEARTBEAT_SPACING, OUT_OF_REACH_AFTER};
--- /dev/null
+++ b/crates/gullspar_membership/src/rings.rs
@@ -0,0 +1,67 @@
+//! Which instances are contacts of which.
+//!
+//! Instances stand on a few rings, each in another order, and are contacts of their neighbours there. All that agree on
+//! who is there agree on the rings, so that being a contact is mutual; each instance has as many contacts, and as many
+//! that watch over it, whatever the size of the fleet; and news reach all in a few steps, since the rings mix.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use gullspar_model::{DataCentre, InstanceId};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::Member;
+use crate::timing::{ALL_CONTACTS_UP_TO, FAR_RINGS, NEAR_RINGS};
+
+/// Told apart from the seeds of near rings.
+const FAR_SEED: u64 = 1 << 32;
+
+/// The contacts of `own` among `others`.
+pub(crate) fn contacts(own: &Member, others: &[&Member]) -> BTreeSet<InstanceId> {
+    if others.len() <= ALL_CONTACTS_UP_TO {
+        return others.iter().map(|it| it.id.clone()).collect();
+    }
+    let mut all = others.to_vec();
+    all.push(own);
+    let near: Vec<&Member> =
+        all.iter().copied().filter(|it| it.data_centre == own.data_centre).collect();
+    let near_rings = (0..NEAR_RINGS).map(|seed| by_hash(&near, seed));
+    let far_rings = (0..FAR_RINGS).map(|seed| alternating(&all, FAR_SEED + seed));
+    near_rings.chain(far_rings).flat_map(|it| neighbours(&it, own)).collect()
+}
+
+fn by_hash<'a>(members: &[&'a Member], seed: u64) -> Vec<&'a Member> {
+    let mut ring = members.to_vec();
+    ring.sort_by_cached_key(|it| {
+        let member: &'a Member = it;
+        (hash(member.id.as_str(), seed), &member.id)
+    });
+    ring
+}
+
+/// All members, those of each data centre spread evenly over the ring, so that most neighbours are of different ones.
+fn alternating<'a>(members: &[&'a Member], seed: u64) -> Vec<&'a Member> {
+    let mut by_place: BTreeMap<&DataCentre, Vec<&'a Member>> = BTreeMap::new();
+    for member in members {
+        by_place.entry(&member.data_centre).or_default().push(member);
+    }
+    let mut ring: Vec<(u64, &Member)> = Vec::with_capacity(members.len());
+    for (place, near) in by_place {
+        let gap = u64::MAX / near.len() as u64;
+        let start = hash(place.as_str(), seed) % gap;
+        let spread = by_hash(&near, seed).into_iter().enumerate();
+        ring.extend(spread.map(|(at, it)| (start + at as u64 * gap, it)));
+    }
+    ring.sort_by(|a, b| (a.0, &a.1.id).cmp(&(b.0, &b.1.id)));
+    ring.into_iter().map(|it| it.1).collect()
+}
+
+fn neighbours(ring: &[&Member], own: &Member) -> Vec<InstanceId> {
+    let Some(at) = ring.iter().position(|it| it.id == own.id) else { return Vec::new() };
+    let count = ring.len();
+    let both = [(at + 1) % count, (at + count - 1) % count];
+    both.into_iter().map(|it| ring[it].id.clone()).filter(|it| *it != own.id).collect()
+}
+
+fn hash(text: &str, seed: u64) -> u64 {
+    xxh3_64_with_seed(text.as_bytes(), seed)
+}
