--- a/crates/gullspar_direct/src/caller_opening.rs
+++ b/crates/gullspar_direct/src/caller_opening.rs
@@ -40,7 +40,7 @@
     handed_on: Option<HandedOn>,
 ) -> Result<(), CallerLinkError> {
     let opening = link.next().await?;
-    proxy.census.wait().await;
+    proxy.discovery.wait().await;
     if let (Some(CallerMessage::Open { service }), Some(sender)) = (&opening, &handed_on)
         && !proxy.catches_up(service, sender).await
     {
@@ -50,6 +50,11 @@
     let failure = match opening {
         Some(CallerMessage::Open { service }) => match proxy.directory.route(&service) {
             Some(route) => {
+                if let Some(reason) = proxy.refuses_sessions(&route, handed_on.is_some()) {
+                    log::info!(service = service.as_str(), reason = reason.text(); "G0764 a session is refused at its opening");
+                    let failure = refusal::not_run(reason);
+                    return link.reply(&Answer::failed(failure, TransactionStatus::Idle)).await;
+                }
                 let ways = proxy.ways_around(&route.group);
                 if handed_on.is_some() {
                     proxy.hold(&route.group);
--- a/crates/gullspar_direct/src/confirmation.rs
+++ b/crates/gullspar_direct/src/confirmation.rs
@@ -32,7 +32,7 @@
 /// replicas that are far behind are not asked twenty times for nothing.
 const FIRST_PAUSE: Duration = Duration::from_millis(5);
 
-/// Between two looks at whether a commit that only its leader has may be acknowledged; beacons come every
+/// Between two looks at whether a commit that only its leader has may be acknowledged; heartbeats come every
 /// 200 ms.
 const VOUCH_PAUSE: Duration = Duration::from_millis(50);
 
@@ -137,7 +137,7 @@
             asked
         };
         !group.is_being_replaced(now)
-            && self.peers.vouch_for(&group.name, &leader.member, no_cut_since, now)
+            && self.peers.views.vouch_for(&group.name, &leader.member, no_cut_since, now)
     }
 
     /// Whether the leader that made `commit` leads now, as it says itself.
--- a/crates/gullspar_direct/src/cut_off.rs
+++ b/crates/gullspar_direct/src/cut_off.rs
@@ -3,11 +3,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use gullspar_model::NotRun;
+
 use crate::group::Group;
-use crate::{CutOff, Proxy, ROTATION};
+use crate::{CutOff, Phase, Proxy, ROTATION, Route};
 
-/// Between two looks at whether this instance is cut off.
-const JUDGE_EVERY: Duration = Duration::from_millis(50);
+/// Between two looks at who has fallen silent and whether this instance is cut off.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
 
 impl Proxy {
     /// Whether waiting for a leader of `group` that this instance can use is in vain: the others use it, or
@@ -23,19 +25,58 @@
         }
         let led = group
             .leader()
-            .is_some_and(|it| self.peers.others_see_lead(&group.name, &it.member, now));
+            .is_some_and(|it| self.peers.views.others_see_lead(&group.name, &it.member, now));
         led || self.peers.is_isolated(now) || self.ways_around(&group.name).is_some()
     }
 
     /// Whether this instance is cut off from the other instances and from the leaders of half of the
     /// groups or more, so that callers are better served elsewhere.
+    ///
+    /// One that is home of no group goes by the homes of its data centre, which it hands its callers on to: if none of
+    /// them reaches its leaders, it would only keep callers waiting to be refused.
     pub(crate) fn is_cut_off(&self) -> bool {
-        if !self.peers.is_isolated(self.borders.clock.boot_now()) {
+        let now = self.borders.clock.boot_now();
+        if !self.peers.is_isolated(now) {
             return false;
         }
+        match self.groups().is_empty() {
+            true => !self.peers.is_home_at_work(now),
+            false => !self.reaches_its_leaders(),
+        }
+    }
+
+    /// Whether this instance is home of some groups and reaches the leaders of more than half of them.
+    pub(crate) fn reaches_its_leaders(&self) -> bool {
         let groups = self.groups();
-        let lost = groups.iter().filter(|it| it.working_leader().is_none()).count();
-        lost > 0 && 2 * lost >= groups.len()
+        let led = groups.iter().filter(|it| it.working_leader().is_some()).count();
+        2 * led > groups.len()
+    }
+
+    /// Why no session with `route` is opened here now, if none is.
+    ///
+    /// Opened all the same, it would be closed while its first request is on the way, and the caller would not know
+    /// whether that ran.
+    pub(crate) fn refuses_sessions(&self, route: &Route, is_handed_on: bool) -> Option<NotRun> {
+        if self.shutdown.phase() >= Phase::ClosingIdle {
+            return Some(NotRun::Leaving);
+        }
+        let refuses = match self.shutdown.cut_off() {
+            CutOff::No => false,
+            // One that is home of nothing leaves it to homes, which hear of leaders until the last moment.
+            CutOff::Yes => match self.group(&route.group) {
+                Some(group) => !self.serves(&group, route),
+                None => is_handed_on,
+            },
+            CutOff::OutOfRotation => true,
+        };
+        refuses.then_some(NotRun::Unreachable)
+    }
+
+    /// Whether any statement with `route` can be served: its group is led, or replicas were heard of lately enough.
+    fn serves(&self, group: &Group, route: &Route) -> bool {
+        let now = self.borders.clock.boot_now();
+        let fresh = |max_age| group.reading_within(now, max_age).is_some();
+        group.working_leader().is_some() || route.freshness.max_age().is_some_and(fresh)
     }
 
     /// Whether this instance has been able to serve callers since its start.
@@ -51,19 +92,21 @@
         let led = groups.iter().filter(|it| it.working_leader().is_some()).count();
         let useful = match groups.is_empty() {
             // It hands all sessions on.
-            true => !self.peers.alive(self.borders.clock.boot_now()).is_empty(),
+            true => self.peers.running() > 0,
             false => 2 * led >= groups.len(),
         };
         self.useful.set(useful);
         useful
     }
 
-    /// Sends callers away while this instance is cut off, or around a leader that only it can't reach.
-    pub(crate) async fn judge_itself(self: Rc<Self>) {
+    /// Notices who has fallen silent, and sends callers away while this instance is cut off, or around a leader that
+    /// only it can't reach.
+    pub(crate) async fn look_around(self: Rc<Self>) {
         let clock = Rc::clone(&self.borders.clock);
         let mut cut_off_since = None;
         let mut ways_around = Vec::new();
         loop {
+            self.watch_peers();
             self.look_for_ways(&mut ways_around);
             if self.is_cut_off() {
                 let since = *cut_off_since.get_or_insert_with(|| {
@@ -76,7 +119,7 @@
                 log::info!("G0742 this instance is no longer cut off");
                 self.shutdown.set_cut_off(CutOff::No);
             }
-            clock.sleep_until(clock.now() + JUDGE_EVERY).await;
+            clock.sleep_until(clock.now() + LOOK_EVERY).await;
         }
     }
 }
--- a/crates/gullspar_direct/src/detour.rs
+++ b/crates/gullspar_direct/src/detour.rs
@@ -41,8 +41,8 @@
             return None;
         }
         let now = self.borders.clock.boot_now();
-        let mut ways = self.peers.seeing_leader(group, now);
-        if SEEN_BY_ONE_IN * ways.len() < self.peers.counted_for(group, now) {
+        let mut ways = self.peers.views.seeing_leader(group, now);
+        if SEEN_BY_ONE_IN * ways.len() < self.peers.views.counted_for(group, now) {
             return None;
         }
         // Each session takes its own turn, so that they share the work.
--- a/crates/gullspar_direct/src/discovery.rs
+++ b/crates/gullspar_direct/src/discovery.rs
@@ -16,12 +16,14 @@
 
 use crate::{Member, Proxy};
 
-/// How long a start waits for the registry, which answers in 4 ms. By then beacons have told of some
+/// How long a start waits for the registry, which answers in 4 ms. By then heartbeats have told of some
 /// instances where it does not answer.
-const CENSUS_WITHIN: Duration = Duration::from_millis(600);
+const DISCOVERY_WITHIN: Duration = Duration::from_millis(600);
 
-/// How long entries of the registry count as instances at work before they are heard: all of 73 have
-/// been told by beacons, in turns, after 1.6 s.
+/// How long entries of the registry count as instances at work before they are heard.
+///
+/// Whoever lives is known to all within a second, however many there are; some of those that start together take
+/// longer to start.
 const EXPECTED_FOR: Duration = Duration::from_secs(3);
 
 /// How long an instance hears nobody before it looks others up.
@@ -29,26 +31,26 @@
 
 /// Whether this instance knows how many others to expect.
 #[derive(Default)]
-pub(crate) struct Census {
-    taken: Cell<bool>,
+pub(crate) struct Discovery {
+    done: Cell<bool>,
     changed: Event,
 }
 
-impl Census {
-    pub(crate) fn is_taken(&self) -> bool {
-        self.taken.get()
+impl Discovery {
+    pub(crate) fn is_done(&self) -> bool {
+        self.done.get()
     }
 
     /// Waits until it is taken.
     pub(crate) async fn wait(&self) {
         let changed = self.changed.listen();
-        if !self.taken.get() {
+        if !self.done.get() {
             changed.await;
         }
     }
 
     fn finish(&self) {
-        self.taken.set(true);
+        self.done.set(true);
         self.changed.notify(usize::MAX);
     }
 }
@@ -57,11 +59,11 @@
     /// Looks up who is there, enters this instance, and looks again while it hears nobody.
     pub(crate) async fn find_others(self: Rc<Self>) {
         let clock = Rc::clone(&self.borders.clock);
-        let deadline = clock.now() + CENSUS_WITHIN;
+        let deadline = clock.now() + DISCOVERY_WITHIN;
         let found = within(&*clock, deadline, self.look_up()).await.ok().flatten();
-        let mut entered = found.as_ref().is_some_and(|it| it.contains(&self.as_member()));
+        let mut entered = found.as_ref().is_some_and(|it| it.contains(&self.own.member()));
         self.expect(found.unwrap_or_default());
-        self.census.finish();
+        self.discovery.finish();
         self.tend_groups();
         loop {
             if !entered {
@@ -69,7 +71,7 @@
             }
             clock.sleep_until(clock.now() + LONELY_AFTER).await;
             if self.members().len() == 1 {
-                // Beacons go out to whomever it brings.
+                // Heartbeats go out to whomever it brings.
                 let _ = self.look_up().await;
             }
         }
@@ -82,12 +84,11 @@
         self.peers.expect(entries, self.borders.clock.boot_now().plus(EXPECTED_FOR));
     }
 
-    /// Reads the registry and sends beacons to whoever stands there; `None` if it can't be read.
+    /// Reads the registry and sends heartbeats to whoever stands there; `None` if it can't be read.
     async fn look_up(&self) -> Option<Vec<Member>> {
         match self.borders.registry.entries().await {
             Ok(entries) => {
-                let now = self.borders.clock.boot_now();
-                entries.iter().for_each(|it| self.peers.add_contact(it.address, now));
+                entries.iter().for_each(|it| self.peers.add_lead(it.address));
                 Some(entries)
             }
             Err(err) => {
@@ -98,7 +99,7 @@
     }
 
     async fn enter_registry(&self) -> bool {
-        match self.borders.registry.enter(&self.as_member()).await {
+        match self.borders.registry.enter(&self.own.member()).await {
             Ok(()) => true,
             Err(err) => {
                 log::info!(reason = err.to_string().as_str(); "G0751 this instance could not be registered");
--- a/crates/gullspar_direct/src/failover.rs
+++ b/crates/gullspar_direct/src/failover.rs
@@ -84,7 +84,7 @@
             let long = now >= self.group.leaderless_since() + LEADERLESS_FOR;
             let reachable = self.group.targets().iter().any(|it| it.was_heard() && !it.is_dark());
             let boot_now = self.borders.clock.boot_now();
-            let led = self.peers.others_see_leader(&self.group.name, boot_now);
+            let led = self.peers.views.others_see_leader(&self.group.name, boot_now);
             return (long && reachable && !led && self.agreed(None)).then_some(Cause::NoLeader);
         };
         match self.group.target(&leader.member) {
@@ -100,8 +100,8 @@
     fn agreed(&self, leader: Option<&MemberName>) -> bool {
         let now = self.borders.clock.boot_now();
         let ballot = Ballot {
-            counted: self.peers.counted_for(&self.group.name, now),
-            against: 1 + self.peers.see_no_leader(&self.group.name, leader, now),
+            counted: self.peers.views.counted_for(&self.group.name, now),
+            against: 1 + self.peers.views.see_no_leader(&self.group.name, leader, now),
         };
         ballot.verdict() == Verdict::Replace
     }
@@ -110,15 +110,14 @@
     fn may_act(&self) -> bool {
         let now = self.borders.clock.boot_now();
         // One on its way out may be in the middle of a promotion as well.
-        let running = self.peers.running(now);
-        self.group.claims().may_act(&self.own, now, |it| running.contains(it))
+        self.group.claims().may_act(&self.own, now, |it| self.peers.is_running(it, now))
     }
 
     /// This instance's place in the order in which instances act for this group: whoever acted last
     /// comes first, the others by a hash that spreads the groups over them.
     fn rank(&self) -> u32 {
         let now = self.borders.clock.boot_now();
-        let mut alive = self.peers.looking_at(&self.group.name, now);
+        let mut alive = self.peers.views.looking_at(&self.group.name, now);
         alive.push(self.own.clone());
         let last = self.group.claims().holder().cloned();
         alive.sort_by_key(|it| (Some(it) != last.as_ref(), homes::weight(&self.group.name, it)));
--- a/crates/gullspar_direct/src/group.rs
+++ b/crates/gullspar_direct/src/group.rs
@@ -11,7 +11,7 @@
 
 use crate::failover_timing;
 use crate::target::Target;
-use crate::{ClaimBook, GroupView, Reading, Readings, Sighting};
+use crate::{ClaimBook, GroupView, LeaderHealth, Reading, Readings};
 
 /// Who leads, as it said itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -253,16 +253,16 @@
         settle_until: Instant,
     ) -> GroupView {
         let leader = self.leader().map(|it| it.member);
-        let sighting = match &leader {
+        let health = match &leader {
             Some(member) => match self.target(member) {
-                Some(target) if !target.is_dark() => Sighting::Leads,
-                _ => Sighting::Dark,
+                Some(target) if !target.is_dark() => LeaderHealth::Leads,
+                _ => LeaderHealth::Dark,
             },
-            None if now < settle_until => Sighting::Unsure,
-            None => Sighting::NoLeader,
+            None if now < settle_until => LeaderHealth::Unsure,
+            None => LeaderHealth::NoLeader,
         };
         let claim = self.claims.borrow().to_tell(boot_now);
-        GroupView { group: self.name.clone(), leader, sighting, claim }
+        GroupView { group: self.name.clone(), leader, health, claim }
     }
 
     /// When the group is given up to other instances, if it is.
--- a/crates/gullspar_direct/src/handed_on.rs
+++ b/crates/gullspar_direct/src/handed_on.rs
@@ -7,7 +7,7 @@
 
 use crate::Proxy;
 
-/// How long a home that is behind waits for the configuration of whoever handed a session on: a beacon and a fetch
+/// How long a home that is behind waits for the configuration of whoever handed a session on: a heartbeat and a fetch
 /// take 250 ms. The other one waits 400 ms before it tries the next home.
 const CATCH_UP_WITHIN: Duration = Duration::from_millis(300);
 
--- a/crates/gullspar_direct/src/heartbeat.rs
+++ b/crates/gullspar_direct/src/heartbeat.rs
@@ -2,14 +2,15 @@
 
 use std::net::SocketAddr;
 
-use gullspar_model::{DataCentre, GroupName, InstanceId, MemberName, record};
+use gullspar_membership::{Gossip, Member};
+use gullspar_model::{GroupName, InstanceId, MemberName, record};
 
-use crate::{ClaimNote, CountNote};
+use crate::ClaimNote;
 
 record! {
     /// How an instance sees the leader of a group.
     #[derive(Copy)]
-    pub enum Sighting {
+    pub enum LeaderHealth {
         /// It answered lately as the leader.
         Leads,
         /// It does not answer.
@@ -26,7 +27,7 @@
     pub struct GroupView {
         pub group: GroupName,
         pub leader: Option<MemberName>,
-        pub sighting: Sighting,
+        pub health: LeaderHealth,
         /// The newest claim that the sender knows.
         pub claim: Option<ClaimNote>,
     }
@@ -34,27 +35,37 @@
 
 record! {
     /// One instance's news; it fits a datagram, and each replaces the one before.
-    pub struct Beacon {
-        pub from: InstanceId,
-        /// Where the sender answers other instances.
-        pub address: SocketAddr,
-        pub data_centre: DataCentre,
-        /// The sender's processor, in thousandths of a core.
-        pub strength: u32,
-        pub leaving: bool,
+    pub struct Heartbeat {
+        pub gossip: Gossip,
         pub catalogue_version: u64,
         pub target_revision: u64,
-        /// Whether the sender reached the platform's store lately.
-        pub reaches_store: bool,
+        /// How long ago the sender knew of an instance that reaches the platform's store, itself included.
+        pub store_age_ms: Option<u32>,
+        /// How long ago the sender knew of a home in its data centre that reaches its leaders, itself included.
+        pub home_age_ms: Option<u32>,
+        /// The groups that the sender looks at, for those that look at them too; others are told of none.
         pub views: Vec<GroupView>,
-        /// The most instances that the sender knows of.
-        pub counted: CountNote,
-        /// Addresses of some instances that the sender heard lately, others each time.
-        pub known: Vec<SocketAddr>,
     }
 }
 
-impl Beacon {
+impl Heartbeat {
+    /// The sender.
+    pub(crate) fn member(&self) -> &Member {
+        &self.gossip.from.member
+    }
+
+    pub(crate) fn from(&self) -> &InstanceId {
+        &self.member().id
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.member().address
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.gossip.from.leaving
+    }
+
     /// What the sender says of `group`; `None` if it does not look at it.
     pub(crate) fn view(&self, group: &GroupName) -> Option<&GroupView> {
         self.views.iter().find(|it| it.group == *group)
--- a/crates/gullspar_direct/src/heartbeats.rs
+++ b/crates/gullspar_direct/src/heartbeats.rs
@@ -1,96 +1,119 @@
-//! Knowing the other instances, and what they know.
+//! Telling other instances what this one knows, and taking what they tell.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use gullspar_border::{PeerError, within};
+use gullspar_border::{BootInstant, PeerError, within};
+use gullspar_membership::{Gossip, HEARTBEAT_EVERY, HEARTBEAT_SPACING, Member};
 use gullspar_model::GroupName;
 
 use crate::news_source::NewsSource;
 use crate::proxy::SETTLE;
-use crate::{Beacon, Member, Phase, Proxy, Snapshot, SnapshotRequest};
-
-/// Between two beacons to each contact.
-const BEACON_EVERY: Duration = Duration::from_millis(200);
-
-/// Least time between two beacons, however much happens.
-const BEACON_SPACING: Duration = Duration::from_millis(40);
-
-/// Contacts that get each beacon; more instances than this are reached in turns.
-const BEACON_FANOUT: usize = 10;
-
-/// Addresses of instances that a beacon names.
-const BEACON_KNOWN: usize = 12;
+use crate::{GroupView, Heartbeat, Phase, Proxy, Snapshot, SnapshotRequest};
 
 /// How long handing over a snapshot may take.
 const FETCH_WITHIN: Duration = Duration::from_millis(800);
 
 impl Proxy {
-    pub(crate) async fn send_beacons(self: Rc<Self>) {
+    pub(crate) async fn send_heartbeats(self: Rc<Self>) {
         let clock = Rc::clone(&self.borders.clock);
-        let mut turn = 0;
         loop {
-            let beacon = self.beacon();
-            let contacts = self.peers.contacts(self.own.address);
-            let count = contacts.len().min(BEACON_FANOUT);
-            let rounds = contacts.len().div_ceil(BEACON_FANOUT).max(1) as u32;
-            self.peers.set_slack(BEACON_EVERY * (rounds - 1));
-            for close in self.close_contacts(&contacts) {
-                self.borders.peers.send(close, &beacon);
-            }
-            for step in 0..count {
-                let at = (turn + step) % contacts.len();
-                self.borders.peers.send(contacts[at], &beacon);
-            }
-            turn = turn.wrapping_add(count);
-            self.peers.forget_silent(clock.boot_now());
+            let news = self.peers.listen();
+            self.send_round();
             let sent = clock.now();
-            let groups = self.groups();
-            let changed = futures::future::select_all(
-                groups.iter().map(|it| it.listen()).chain([self.directory.listen()]),
-            );
-            // A leader that fell silent is news: a promotion waits for the views of most instances.
-            let _ = within(&*clock, sent + BEACON_EVERY, changed).await;
-            clock.sleep_until(sent + BEACON_SPACING).await;
+            // What is passed on is passed on twice, so that one lost datagram matters to nobody.
+            if !self.peers.has_news() {
+                let groups = self.groups();
+                let changed = futures::future::select_all(
+                    groups.iter().map(|it| it.listen()).chain([self.directory.listen(), news]),
+                );
+                // A leader that fell silent is news: a promotion waits for the views of most instances.
+                let _ = within(&*clock, sent + HEARTBEAT_EVERY, changed).await;
+            }
+            clock.sleep_until(sent + HEARTBEAT_SPACING).await;
         }
     }
 
-    /// Instances that look at the same groups, if all are too many to be told each time: they decide on
-    /// promotions together, and need each other's views at once.
-    pub(crate) fn close_contacts(&self, contacts: &[SocketAddr]) -> Vec<SocketAddr> {
-        if contacts.len() <= BEACON_FANOUT {
-            return Vec::new();
+    /// Sends a heartbeat to all contacts, and to all that look at the same groups.
+    fn send_round(&self) {
+        let now = self.borders.clock.boot_now();
+        self.peers.set_leaving(self.shutdown.phase() != Phase::Serving);
+        self.peers.keep_close(self.looking_at_same_groups(now), now);
+        let mut to: BTreeSet<SocketAddr> =
+            self.peers.begin_round(self.borders.entropy.next_u64(), now).into_iter().collect();
+        to.extend(self.peers.close());
+        let views = self.views(now);
+        for address in to {
+            let heartbeat = self.heartbeat(address, self.peers.gossip(address, now), &views, now);
+            self.borders.peers.send(address, &heartbeat);
         }
+    }
+
+    /// Addresses of the homes of the groups that this instance looks at, and of whoever else said that it does.
+    ///
+    /// They decide on promotions together, and need each other's views at once.
+    fn looking_at_same_groups(&self, now: BootInstant) -> Vec<SocketAddr> {
         let groups: Vec<GroupName> = self.groups().iter().map(|it| it.name.clone()).collect();
-        self.peers.addresses_looking_at(&groups, self.borders.clock.boot_now())
+        let mut addresses = self.peers.views.addresses_looking_at(&groups, now);
+        groups.iter().for_each(|it| addresses.extend(self.addresses_of_homes(it)));
+        addresses
     }
 
-    /// What this instance tells the others now.
-    pub(crate) fn beacon(&self) -> Beacon {
-        let clock = &self.borders.clock;
-        let (now, boot_now) = (clock.now(), clock.boot_now());
-        let views =
-            self.groups().iter().map(|it| it.view(now, boot_now, self.started + SETTLE)).collect();
-        let mut known = self.peers.alive_addresses(boot_now);
-        if !known.is_empty() {
-            // By turns, so that everybody hears of everybody.
-            let turn = self.borders.entropy.next_u64() as usize % known.len();
-            known.rotate_left(turn);
-            known.truncate(BEACON_KNOWN);
-        }
-        Beacon {
-            from: self.own.id.clone(),
-            address: self.own.address,
-            data_centre: self.own.data_centre.clone(),
-            strength: self.own.strength,
-            leaving: self.shutdown.phase() != Phase::Serving,
+    fn views(&self, boot_now: BootInstant) -> Vec<GroupView> {
+        let now = self.borders.clock.now();
+        self.groups().iter().map(|it| it.view(now, boot_now, self.started + SETTLE)).collect()
+    }
+
+    fn heartbeat(
+        &self,
+        to: SocketAddr,
+        gossip: Gossip,
+        views: &[GroupView],
+        now: BootInstant,
+    ) -> Heartbeat {
+        let views = if self.peers.is_close(to) { views.to_vec() } else { Vec::new() };
+        Heartbeat {
+            gossip,
             catalogue_version: self.directory.version(),
             target_revision: self.directory.target_revision(),
-            reaches_store: self.reaches_store(),
+            store_age_ms: self.peers.store_age_ms(now),
+            home_age_ms: self.peers.home_age_ms(now),
             views,
-            counted: self.peers.count_to_tell(boot_now),
-            known,
+        }
+    }
+
+    /// Takes a heartbeat of another instance.
+    pub fn take_heartbeat(&self, heartbeat: Heartbeat) {
+        if *heartbeat.from() == self.own.id {
+            return;
+        }
+        let now = self.borders.clock.boot_now();
+        for view in &heartbeat.views {
+            if let (Some(claim), Some(group)) = (&view.claim, self.group(&view.group)) {
+                group.claims().take(claim, heartbeat.from(), now);
+            }
+        }
+        let (address, gossip) = (heartbeat.address(), heartbeat.gossip.clone());
+        if self.peers.take(heartbeat, now).wants_answer {
+            let answer = self.peers.answer(&gossip, now);
+            let heartbeat = self.heartbeat(address, answer, &self.views(now), now);
+            self.borders.peers.send(address, &heartbeat);
+        }
+    }
+
+    /// Notices who has fallen silent, and what this instance can tell of itself.
+    pub(crate) fn watch_peers(&self) {
+        let now = self.borders.clock.boot_now();
+        if self.reaches_store() {
+            self.peers.note_store(now);
+        }
+        if self.reaches_its_leaders() {
+            self.peers.note_home(now);
+        }
+        for id in self.peers.check(now) {
+            log::info!(instance = id.as_str(); "G0763 an instance is dead");
         }
     }
 
@@ -121,7 +144,7 @@
                     }
                 }
             }
-            clock.sleep_until(clock.now() + BEACON_EVERY).await;
+            clock.sleep_until(clock.now() + HEARTBEAT_EVERY).await;
         }
     }
 
@@ -139,20 +162,6 @@
         }
     }
 
-    /// Takes a beacon of another instance.
-    pub fn take_beacon(&self, beacon: Beacon) {
-        if beacon.from == self.own.id {
-            return;
-        }
-        let now = self.borders.clock.boot_now();
-        for view in &beacon.views {
-            if let (Some(claim), Some(group)) = (&view.claim, self.group(&view.group)) {
-                group.claims().take(claim, &beacon.from, now);
-            }
-        }
-        self.peers.take(beacon, now);
-    }
-
     /// What another instance lacks.
     pub fn snapshot(&self, req: SnapshotRequest) -> Snapshot {
         let catalogue = self.directory.catalogue().filter(|it| it.version > req.catalogue_version);
@@ -164,18 +173,7 @@
     }
 
     /// All instances that take work, this one included.
-    pub(crate) fn members(&self) -> Vec<Member> {
-        let mut members = self.peers.members(self.borders.clock.boot_now());
-        members.push(self.as_member());
-        members
-    }
-
-    pub(crate) fn as_member(&self) -> Member {
-        Member {
-            id: self.own.id.clone(),
-            address: self.own.address,
-            data_centre: self.own.data_centre.clone(),
-            strength: self.own.strength,
-        }
+    pub(crate) fn members(&self) -> Rc<Vec<Member>> {
+        self.peers.members(self.borders.clock.boot_now())
     }
 }
--- a/crates/gullspar_direct/src/home_groups.rs
+++ b/crates/gullspar_direct/src/home_groups.rs
@@ -10,7 +10,7 @@
 use crate::admission_limit::connection_share;
 use crate::failover;
 use crate::group::Group;
-use crate::homes::{self, Allowance};
+use crate::homes::Allowance;
 use crate::proxy::SETTLE;
 use crate::stats::Levels;
 use crate::target::Target;
@@ -20,11 +20,8 @@
 /// How long a group is served for a session that was handed on to an instance that is not its home.
 const HOLD_FOR: Duration = Duration::from_secs(10);
 
-/// Instances that stand in for homes that can't be reached, in the order of preference.
-const SPARE_HOMES: usize = 2;
-
-/// How long a home that could not be reached comes after its stand-ins. Each session that
-/// is opened at one that is dark waits 0.4 s in vain, and only 1.2 to 4 s later beacons show that it is gone.
+/// How long a home that could not be reached comes after its stand-ins. Each session that is opened at one that is
+/// dark waits in vain, and heartbeats show a second later that it is gone.
 const AVOID_HOME_FOR: Duration = Duration::from_secs(2);
 
 /// How long a group that other instances are homes of now is kept for the sessions that are open.
@@ -34,12 +31,11 @@
     /// Brings groups, targets and their capacities in line with the directory and the other instances.
     pub(crate) fn tend_groups(&self) {
         // Without both of them every instance would take itself for a home of all groups.
-        if !self.census.is_taken() || self.directory.catalogue().is_none() {
+        if !self.discovery.is_done() || self.directory.catalogue().is_none() {
             return;
         }
         let now = self.borders.clock.now();
         let targets = self.directory.targets();
-        let members = self.members();
         for group in self.groups() {
             for target in group.targets() {
                 let member = target.member();
@@ -52,11 +48,17 @@
             // Entries come from other writers too; one of a group that the configuration does not name is of
             // no target to connect to.
             let Some(allowance) = self.allowance(&spec.group) else { continue };
-            if self.is_home(&spec.group, allowance, &members) {
-                self.tend_target(spec, allowance, homes::holders(allowance, &members));
+            if self.is_home(&spec.group, allowance) {
+                let homes = self.homes_of(&spec.group, allowance);
+                let holders = homes.map_or_else(|| self.members().len(), |it| it.holders);
+                self.tend_target(spec, allowance, holders);
             }
         }
-        self.give_up_groups(&members, now);
+        self.give_up_groups(now);
+        if let Some(catalogue) = self.directory.catalogue() {
+            let mut plans = self.home_plans.borrow_mut();
+            plans.retain(|group, _| catalogue.groups.contains_key(group));
+        }
     }
 
     pub(crate) fn tend_target(&self, spec: Rc<TargetSpec>, allowance: Allowance, holders: usize) {
@@ -114,33 +116,31 @@
     }
 
     /// What each target of `group` allows; `None` if the configuration does not name the group.
-    fn allowance(&self, group: &GroupName) -> Option<Allowance> {
+    pub(crate) fn allowance(&self, group: &GroupName) -> Option<Allowance> {
         let limits = self.directory.catalogue()?.groups.get(group).copied()?;
         let slots = self.directory.slots(group);
         Some(Allowance { connections: limits.connections, slots })
     }
 
-    fn is_home(&self, group: &GroupName, allowance: Allowance, members: &[Member]) -> bool {
+    fn is_home(&self, group: &GroupName, allowance: Allowance) -> bool {
         if self.is_held(group) {
             return true;
         }
-        let ranked = homes::ranked(group, allowance, &self.own.data_centre, members);
-        ranked
-            .is_none_or(|(ranked, count)| ranked.iter().take(count).any(|it| it.id == self.own.id))
+        let homes = self.homes_of(group, allowance);
+        homes.is_none_or(|it| it.ranked.iter().take(it.count).any(|it| it.id == self.own.id))
     }
 
     /// The instances to hand a session of `group` on to, best first; `None` if it is served here.
     pub(crate) fn other_homes(&self, group: &GroupName) -> Option<Vec<Member>> {
         let allowance = self.allowance(group)?;
-        let data_centre = &self.own.data_centre;
-        let (mut ranked, count) = homes::ranked(group, allowance, data_centre, &self.members())?;
+        let homes = self.homes_of(group, allowance)?;
+        let (mut ranked, count) = (homes.ranked.clone(), homes.count.min(homes.ranked.len()));
         if ranked.iter().take(count).any(|it| it.id == self.own.id) {
             return None;
         }
         // Each session takes its own turn, so that the homes share the work.
         let turn = self.borders.entropy.next_u64() as usize % count.max(1);
         ranked[..count].rotate_left(turn);
-        ranked.truncate(count + SPARE_HOMES);
         let now = self.borders.clock.now();
         let avoided = self.avoided_homes.borrow();
         ranked.sort_by_key(|it| avoided.get(&it.id).is_some_and(|until| now < *until));
@@ -167,10 +167,10 @@
     }
 
     /// Gives up groups that other instances are homes of now, once their sessions had time to leave.
-    pub(crate) fn give_up_groups(&self, members: &[Member], now: Instant) {
+    pub(crate) fn give_up_groups(&self, now: Instant) {
         for group in self.groups() {
             let allowance = self.allowance(&group.name);
-            let home = allowance.is_some_and(|it| self.is_home(&group.name, it, members));
+            let home = allowance.is_some_and(|it| self.is_home(&group.name, it));
             match (home, group.given_up_at()) {
                 (true, _) => group.set_given_up_at(None),
                 (false, None) => {
@@ -214,7 +214,7 @@
             configuration: self.directory.version(),
             cut_off: self.shutdown.cut_off() != CutOff::No,
             leaderless: leaderless as u64,
-            instances: 1 + self.peers.alive(self.borders.clock.boot_now()).len() as u64,
+            instances: 1 + self.peers.running() as u64,
             store_silent_ms: self.store_silent_for().map(|it| it.as_millis() as u64),
         }
     }
--- /dev/null
+++ b/crates/gullspar_direct/src/home_plan.rs
@@ -0,0 +1,65 @@
+//! The homes of a group, worked out once for each change of the members.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use gullspar_model::GroupName;
+
+use crate::Proxy;
+use crate::homes::{self, Allowance, Homes};
+use crate::peer_table::Epoch;
+
+/// The homes of one group and what they follow from.
+///
+/// Ranking hundreds of instances for each group at each look, and for each session, took a small machine more than a
+/// hundredth of its processor.
+pub(crate) struct HomePlan {
+    epoch: Epoch,
+    allowance: Allowance,
+    /// `None` if every instance connects itself.
+    homes: Option<Rc<Homes>>,
+    /// Addresses of the homes in all data centres; worked out where this instance looks at the group.
+    everywhere: Option<Rc<Vec<SocketAddr>>>,
+}
+
+impl Proxy {
+    /// The homes of `group`; `None` if every instance connects itself.
+    pub(crate) fn homes_of(&self, group: &GroupName, allowance: Allowance) -> Option<Rc<Homes>> {
+        self.with_plan(group, allowance, |plan| plan.homes.clone())
+    }
+
+    /// Addresses of the homes of `group` in all data centres.
+    pub(crate) fn addresses_of_homes(&self, group: &GroupName) -> Vec<SocketAddr> {
+        let Some(allowance) = self.allowance(group) else { return Vec::new() };
+        let members = self.members();
+        self.with_plan(group, allowance, |plan| {
+            let everywhere = plan.everywhere.get_or_insert_with(|| {
+                let homes = homes::everywhere(group, allowance, &members);
+                Rc::new(homes.into_iter().map(|it| it.address).collect())
+            });
+            everywhere.to_vec()
+        })
+    }
+
+    fn with_plan<T>(
+        &self,
+        group: &GroupName,
+        allowance: Allowance,
+        take: impl FnOnce(&mut HomePlan) -> T,
+    ) -> T {
+        let epoch = self.peers.epoch(self.borders.clock.boot_now());
+        let work_out = || HomePlan {
+            epoch,
+            allowance,
+            homes: homes::homes(group, allowance, &self.own.data_centre, &self.members())
+                .map(Rc::new),
+            everywhere: None,
+        };
+        let mut plans = self.home_plans.borrow_mut();
+        let plan = plans.entry(group.clone()).or_insert_with(work_out);
+        if plan.epoch != epoch || plan.allowance != allowance {
+            *plan = work_out();
+        }
+        take(plan)
+    }
+}
--- a/crates/gullspar_direct/src/homes.rs
+++ b/crates/gullspar_direct/src/homes.rs
@@ -11,11 +11,14 @@
 /// a transaction beside it.
 const LEAST_SHARE: usize = 2;
 
+/// Instances that stand in for homes that can't be reached, in the order of preference.
+const SPARE_HOMES: usize = 2;
+
 /// The fewest connections to a target that a home should hold.
 const PER_HOME: usize = 5;
 
 /// What each target of a group allows.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Allowance {
     /// Connections from all instances together.
     pub(crate) connections: u32,
@@ -47,25 +50,61 @@
     data_centres
 }
 
-/// All members as `group` prefers them for homes in `own`, and how many of the first are homes; `None` if
-/// every instance connects itself.
-pub(crate) fn ranked(
+/// The homes of one group, as seen from one data centre.
+#[derive(Clone, Debug)]
+pub(crate) struct Homes {
+    /// The homes of this data centre, and after them who stands in for one that can't be reached, best first.
+    pub(crate) ranked: Vec<Member>,
+    /// How many of `ranked` are homes.
+    pub(crate) count: usize,
+    /// How many instances hold connections to each of the group's targets.
+    pub(crate) holders: usize,
+}
+
+/// The homes of `group` for `own`; `None` if every instance connects itself.
+pub(crate) fn homes(
     group: &GroupName,
     allowance: Allowance,
     own: &DataCentre,
     members: &[Member],
-) -> Option<(Vec<Member>, usize)> {
+) -> Option<Homes> {
     let each = homes_each(allowance, members)?;
-    let mut ranked = members.to_vec();
-    ranked.sort_by_cached_key(|it| (it.data_centre != *own, distance(group, it)));
-    let near = ranked.iter().take_while(|it| it.data_centre == *own).count();
-    let count = if near == 0 { each } else { each.min(near) };
-    Some((ranked, count))
+    let near = members.iter().filter(|it| it.data_centre == *own);
+    let mut ranked = by_distance(group, near);
+    let count = if ranked.is_empty() { each } else { each.min(ranked.len()) };
+    if ranked.len() < count + SPARE_HOMES {
+        let far = members.iter().filter(|it| it.data_centre != *own);
+        ranked.extend(by_distance(group, far));
+    }
+    ranked.truncate(count + SPARE_HOMES);
+    let ranked = ranked.into_iter().cloned().collect();
+    Some(Homes { ranked, count, holders: holders(each, members) })
+}
+
+/// The homes of `group` in all data centres; none if every instance connects itself.
+pub(crate) fn everywhere<'a>(
+    group: &GroupName,
+    allowance: Allowance,
+    members: &'a [Member],
+) -> Vec<&'a Member> {
+    let Some(each) = homes_each(allowance, members) else { return members.iter().collect() };
+    let homes = data_centres(members).into_iter().flat_map(|place| {
+        let near = members.iter().filter(|it| it.data_centre == *place);
+        by_distance(group, near).into_iter().take(each)
+    });
+    homes.collect()
+}
+
+fn by_distance<'a>(
+    group: &GroupName,
+    members: impl Iterator<Item = &'a Member>,
+) -> Vec<&'a Member> {
+    let mut ranked: Vec<&Member> = members.collect();
+    ranked.sort_by_cached_key(|it| distance(group, it));
+    ranked
 }
 
-/// How many instances hold connections to each of the group's targets.
-pub(crate) fn holders(allowance: Allowance, members: &[Member]) -> usize {
-    let Some(each) = homes_each(allowance, members) else { return members.len() };
+fn holders(each: usize, members: &[Member]) -> usize {
     let near = |place: &DataCentre| members.iter().filter(|it| it.data_centre == *place).count();
     data_centres(members).into_iter().map(|it| each.min(near(it))).sum()
 }
--- a/crates/gullspar_direct/src/news_source.rs
+++ b/crates/gullspar_direct/src/news_source.rs
@@ -11,7 +11,7 @@
 /// Near ones go first: chosen from all, 23 of 24 would be in another data centre at the planned size; among 73
 /// instances in five it saves a hundredth of the bytes between data centres. Each instance begins with another one, so
 /// that not all ask the same. One that did not answer is followed by the next, near or not: an instance whose
-/// beacons arrive may still be out of reach, and asked again and again it would keep the news from this one for as
+/// heartbeats arrive may still be out of reach, and asked again and again it would keep the news from this one for as
 /// long as the cut lasts.
 pub(crate) struct NewsSource {
     turn: usize,
--- a/crates/gullspar_direct/src/peer_table.rs
+++ b/crates/gullspar_direct/src/peer_table.rs
@@ -3,299 +3,253 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
+use event_listener::{Event, EventListener};
 use gullspar_border::BootInstant;
-use gullspar_model::{GroupName, InstanceId, MemberName};
-
-use crate::count_note::CountBook;
-use crate::{Beacon, CountNote, Member, Sighting};
-
-/// An instance heard within this time is alive: five beacons in a row may get lost.
-const ALIVE_FOR: Duration = Duration::from_millis(1200);
-
-/// Silence of an instance after which it is out of reach, for judging whether this one is cut off.
-const OUT_OF_REACH_AFTER: Duration = Duration::from_millis(700);
-
-/// A view of a group older than this says nothing about its leader any more.
-const VIEW_HOLDS_FOR: Duration = Duration::from_millis(700);
-
-/// A view older than this no longer shows that nobody has decided on another leader.
-///
-/// Beacons come every 200 ms, so that one may get lost. Behind a cut the others need 70 to 300 ms to see that
-/// the leader is out of their reach, and have ordered its successor 400 ms after the cut.
-const VOUCH_HOLDS_FOR: Duration = Duration::from_millis(350);
-
-/// How long a silent instance still counts when majorities are formed.
-///
-/// A cut-off data centre must not become its own majority within the seconds that cuts usually last;
-/// an instance that was removed for good must not count for ever.
-pub(crate) const COUNTS_FOR: Duration = Duration::from_secs(15);
-
-/// How long an address is told news although nobody answers there.
-///
-/// Machines are replaced at other addresses; told for ever, the gone ones would take the turns of those
-/// that are there. A cut lasts seconds.
-const CONTACT_FOR: Duration = Duration::from_secs(60);
+use gullspar_membership::{Gossip, Member, Membership, Taken};
+use gullspar_model::InstanceId;
+
+use crate::Heartbeat;
+use crate::last_known::LastKnown;
+use crate::views::Views;
+
+/// How long word of an instance that reaches the platform's store holds; it is passed on from contact to contact, and
+/// takes a heartbeat for each step.
+const STORE_KNOWN_FOR: Duration = Duration::from_secs(2);
+
+/// How long word of a home that reaches its leaders holds: a few steps through a data centre.
+const HOME_KNOWN_FOR: Duration = Duration::from_millis(700);
+
+/// How long an instance that no longer looks at a group goes on telling those that do; they would count its last view
+/// for as long as the dead count.
+const CLOSE_FOR: Duration = Duration::from_secs(2);
+
+/// What the members were that were last told of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Epoch {
+    generation: u64,
+    /// Whether instances that were not heard yet are among them.
+    expecting: bool,
+}
 
-struct Heard {
-    beacon: Beacon,
-    at: BootInstant,
+struct CachedMembers {
+    epoch: Epoch,
+    members: Rc<Vec<Member>>,
 }
 
-/// What the beacons brought.
-#[derive(Default)]
+/// Who is there, and what they said.
 pub struct PeerTable {
-    heard: RefCell<BTreeMap<InstanceId, Heard>>,
-    /// Addresses that were named somewhere, with the time until which they are told although they are
-    /// silent; `None` for those of the settings, which are told for ever.
-    contacts: RefCell<BTreeMap<SocketAddr, Option<BootInstant>>>,
-    /// How many instances there are, as others told.
-    told: CountBook,
-    /// How much longer than a beacon's usual pause an instance may be silent, because all are too many to
-    /// be told each time.
-    slack: Cell<Duration>,
+    own: Member,
+    membership: RefCell<Membership>,
+    pub(crate) views: Views,
+    /// Instances that look at the same groups, and until when they are told each time.
+    close: RefCell<BTreeMap<SocketAddr, BootInstant>>,
+    store_known: LastKnown,
+    home_known: LastKnown,
     /// Instances that are taken to work although they were not heard yet, and until when.
     expected: RefCell<Vec<Member>>,
     expected_until: Cell<Option<BootInstant>>,
+    cached: RefCell<Option<CachedMembers>>,
+    changed: Event,
 }
 
 impl PeerTable {
-    /// A table that begins with some addresses to ask.
-    pub fn new(seeds: impl IntoIterator<Item = SocketAddr>) -> PeerTable {
-        let contacts = RefCell::new(seeds.into_iter().map(|it| (it, None)).collect());
-        PeerTable { contacts, ..PeerTable::default() }
-    }
-
-    /// Takes a beacon that arrived at `now`.
-    pub fn take(&self, beacon: Beacon, now: BootInstant) {
-        beacon.known.iter().for_each(|it| self.add_contact(*it, now));
-        self.add_contact(beacon.address, now);
-        if let Some(Some(until)) = self.contacts.borrow_mut().get_mut(&beacon.address) {
-            *until = now.plus(CONTACT_FOR);
+    /// A table of `own` alone that begins with some addresses to ask.
+    pub fn new(own: Member, seeds: impl IntoIterator<Item = SocketAddr>) -> PeerTable {
+        PeerTable {
+            membership: RefCell::new(Membership::new(own.clone(), seeds)),
+            own,
+            views: Views::default(),
+            close: RefCell::default(),
+            store_known: LastKnown::default(),
+            home_known: LastKnown::default(),
+            expected: RefCell::default(),
+            expected_until: Cell::new(None),
+            cached: RefCell::default(),
+            changed: Event::new(),
         }
-        self.told.take(beacon.counted, now);
-        self.heard.borrow_mut().insert(beacon.from.clone(), Heard { beacon, at: now });
-    }
-
-    /// The most instances that are known of, for others.
-    pub fn count_to_tell(&self, now: BootInstant) -> CountNote {
-        self.told.to_tell(self.counted_here(now), now)
     }
 
-    /// Adds an address where an instance may be.
-    pub fn add_contact(&self, address: SocketAddr, now: BootInstant) {
-        let until = Some(now.plus(CONTACT_FOR));
-        self.contacts.borrow_mut().entry(address).or_insert(until);
+    /// Takes a heartbeat that arrived at `now`.
+    pub(crate) fn take(&self, heartbeat: Heartbeat, now: BootInstant) -> Taken {
+        let taken = self.membership.borrow_mut().take(&heartbeat.gossip, now);
+        self.store_known.take(heartbeat.store_age_ms, now);
+        if heartbeat.member().data_centre == self.own.data_centre {
+            self.home_known.take(heartbeat.home_age_ms, now);
+        }
+        self.views.take(heartbeat, now);
+        if taken.has_news {
+            self.changed.notify(usize::MAX);
+        }
+        taken
     }
 
-    /// Whether any instance alive reaches the platform's store.
-    pub fn others_reach_store(&self, now: BootInstant) -> bool {
-        !self.select(now, self.alive_for(), |it| it.reaches_store.then_some(())).is_empty()
+    /// Notified when there are news of instances to pass on.
+    pub(crate) fn listen(&self) -> EventListener {
+        self.changed.listen()
     }
 
-    /// Forgets instances and addresses that have been silent for so long that they count no more.
-    pub fn forget_silent(&self, now: BootInstant) {
-        self.contacts.borrow_mut().retain(|_, until| until.is_none_or(|it| now < it));
-        self.heard.borrow_mut().retain(|_, it| now.since(it.at) < COUNTS_FOR);
+    /// Whether there are news of instances to pass on.
+    pub(crate) fn has_news(&self) -> bool {
+        self.membership.borrow().has_news()
     }
 
-    /// Where to send beacons.
-    pub fn contacts(&self, own: SocketAddr) -> Vec<SocketAddr> {
-        self.contacts.borrow().keys().copied().filter(|it| *it != own).collect()
+    /// Adds an address where an instance may be.
+    pub(crate) fn add_lead(&self, address: SocketAddr) {
+        self.membership.borrow_mut().add_lead(address);
     }
 
-    /// Addresses of the instances that are alive.
-    pub fn alive_addresses(&self, now: BootInstant) -> Vec<SocketAddr> {
-        self.select(now, self.alive_for(), |it| Some(it.address))
+    /// Announces whether this instance takes no new work.
+    pub(crate) fn set_leaving(&self, leaving: bool) {
+        self.membership.borrow_mut().set_leaving(leaving);
     }
 
-    /// Says how long beacons of one instance may be apart beyond the usual.
-    pub fn set_slack(&self, slack: Duration) {
-        self.slack.set(slack);
+    /// Looks who has fallen silent; gives those that are dead now.
+    pub(crate) fn check(&self, now: BootInstant) -> Vec<InstanceId> {
+        let dead = self.membership.borrow_mut().check(now);
+        self.views.forget_silent(now);
+        if self.has_news() {
+            self.changed.notify(usize::MAX);
+        }
+        dead
     }
 
-    /// Takes `members` for instances at work until they are heard, but no longer than to `until`.
-    pub fn expect(&self, members: Vec<Member>, until: BootInstant) {
-        *self.expected.borrow_mut() = members;
-        self.expected_until.set(Some(until));
+    /// Begins a round of heartbeats; gives whom to send one beside those that are close.
+    pub(crate) fn begin_round(&self, random: u64, now: BootInstant) -> Vec<SocketAddr> {
+        self.membership.borrow_mut().begin_round(random, now)
     }
 
-    /// The other instances that take work.
-    pub fn members(&self, now: BootInstant) -> Vec<Member> {
-        let mut members =
-            self.select(now, self.alive_for(), |it| (!it.leaving).then(|| member(it)));
-        if self.expected_until.get().is_some_and(|until| now < until) {
-            let heard = self.heard.borrow();
-            let expected = self.expected.borrow();
-            members.extend(expected.iter().filter(|it| !heard.contains_key(&it.id)).cloned());
-        }
-        members
+    /// What the heartbeat of this round to the instance at `to` tells of the fleet.
+    pub(crate) fn gossip(&self, to: SocketAddr, now: BootInstant) -> Gossip {
+        self.membership.borrow_mut().message(to, now)
     }
 
-    fn alive_for(&self) -> Duration {
-        ALIVE_FOR + 2 * self.slack.get()
+    /// What to answer the sender of `gossip`.
+    pub(crate) fn answer(&self, gossip: &Gossip, now: BootInstant) -> Gossip {
+        self.membership.borrow_mut().answer(gossip, now)
     }
 
-    /// Names of the instances that are alive and stay.
-    pub fn alive(&self, now: BootInstant) -> Vec<InstanceId> {
-        self.select(now, self.alive_for(), |it| (!it.leaving).then(|| it.from.clone()))
+    /// Tells the instances at `addresses` each time from now on, and some time longer.
+    pub(crate) fn keep_close(
+        &self,
+        addresses: impl IntoIterator<Item = SocketAddr>,
+        now: BootInstant,
+    ) {
+        let mut close = self.close.borrow_mut();
+        close.retain(|_, until| now < *until);
+        let until = now.plus(CLOSE_FOR);
+        let others = addresses.into_iter().filter(|it| *it != self.own.address);
+        close.extend(others.map(|it| (it, until)));
     }
 
-    /// Names of the instances that look at `group` and stay.
-    pub fn looking_at(&self, group: &GroupName, now: BootInstant) -> Vec<InstanceId> {
-        self.select(now, self.alive_for(), |it| {
-            let has_view = it.view(group).is_some();
-            (!it.leaving && has_view).then(|| it.from.clone())
-        })
+    /// Instances that are told what this one sees of its groups.
+    pub(crate) fn close(&self) -> Vec<SocketAddr> {
+        self.close.borrow().keys().copied().collect()
     }
 
-    /// Addresses of the instances that look at any of `groups`.
-    pub fn addresses_looking_at(&self, groups: &[GroupName], now: BootInstant) -> Vec<SocketAddr> {
-        self.select(now, COUNTS_FOR, |it| {
-            it.views.iter().any(|it| groups.contains(&it.group)).then_some(it.address)
-        })
+    pub(crate) fn is_close(&self, address: SocketAddr) -> bool {
+        self.close.borrow().contains_key(&address)
     }
 
-    /// Names of the instances that are alive, those on their way out included.
-    pub fn running(&self, now: BootInstant) -> Vec<InstanceId> {
-        self.select(now, self.alive_for(), |it| Some(it.from.clone()))
+    /// This instance reaches the platform's store.
+    pub(crate) fn note_store(&self, now: BootInstant) {
+        self.store_known.note(now);
     }
 
-    /// Instances that count, this one included, by what was heard here and what others told.
-    pub fn counted(&self, now: BootInstant) -> usize {
-        self.counted_here(now).max(self.told.instances(now))
+    pub(crate) fn store_age_ms(&self, now: BootInstant) -> Option<u32> {
+        self.store_known.age_ms(now)
     }
 
-    fn counted_here(&self, now: BootInstant) -> usize {
-        1 + self.select(now, COUNTS_FOR, |it| (!it.leaving).then_some(())).len()
+    /// Whether any instance is known to reach the platform's store.
+    pub(crate) fn others_reach_store(&self, now: BootInstant) -> bool {
+        self.store_known.is_within(STORE_KNOWN_FOR, now)
     }
 
-    /// Instances that count in a majority about `group`, this one included: those that look at it.
-    pub fn counted_for(&self, group: &GroupName, now: BootInstant) -> usize {
-        let looks = |it: &Beacon| {
-            let has_view = it.view(group).is_some();
-            (!it.leaving && has_view).then_some(())
-        };
-        1 + self.select(now, COUNTS_FOR, looks).len()
+    /// This instance is a home and reaches its leaders.
+    pub(crate) fn note_home(&self, now: BootInstant) {
+        self.home_known.note(now);
     }
 
-    /// Whether most of the instances that count are out of this one's reach.
-    pub fn is_isolated(&self, now: BootInstant) -> bool {
-        let reached = 1 + self
-            .select(now, OUT_OF_REACH_AFTER + 2 * self.slack.get(), |it| Some(it.leaving))
-            .len();
-        2 * reached <= self.counted(now)
+    pub(crate) fn home_age_ms(&self, now: BootInstant) -> Option<u32> {
+        self.home_known.age_ms(now)
     }
 
-    /// Whether at least half of the instances that count see `leader` lead `group`.
-    pub fn others_see_lead(
-        &self,
-        group: &GroupName,
-        leader: &MemberName,
-        now: BootInstant,
-    ) -> bool {
-        let sees = |it: &Beacon| {
-            let view = it.view(group)?;
-            let leads = view.sighting == Sighting::Leads && view.leader.as_ref() == Some(leader);
-            leads.then_some(())
-        };
-        2 * self.select(now, VIEW_HOLDS_FOR, sees).len() > self.counted_for(group, now)
+    /// Whether any home in this data centre is known to reach its leaders.
+    pub(crate) fn is_home_at_work(&self, now: BootInstant) -> bool {
+        self.home_known.is_within(HOME_KNOWN_FOR, now)
     }
 
-    /// Whether most of the instances that count, this one included, have spoken since `since` and not against
-    /// `leader` of `group`.
-    ///
-    /// A promotion needs half of them against the leader, so that none had been decided on as of `since`.
-    pub fn vouch_for(
+    /// The instances heard lately whose news are newer than `version` and `revision`.
+    pub(crate) fn ahead(
         &self,
-        group: &GroupName,
-        leader: &MemberName,
-        since: BootInstant,
+        version: u64,
+        revision: Option<u64>,
         now: BootInstant,
-    ) -> bool {
-        let limit = VOUCH_HOLDS_FOR + 2 * self.slack.get();
-        let vouches = |it: &Beacon| {
-            let view = it.view(group)?;
-            let not_against = match view.sighting {
-                Sighting::Leads => view.leader.as_ref() == Some(leader),
-                // One that has just started has no say yet.
-                Sighting::Unsure => true,
-                Sighting::Dark | Sighting::NoLeader => false,
-            };
-            not_against.then_some(())
-        };
-        let vouching = 1 + self.select(now, now.since(since).min(limit), vouches).len();
-        2 * vouching > self.counted_for(group, now)
+    ) -> Vec<Member> {
+        self.views.ahead(version, revision, STORE_KNOWN_FOR, now)
     }
 
-    /// Other instances that take work and lately saw `group` led by somebody.
-    pub fn seeing_leader(&self, group: &GroupName, now: BootInstant) -> Vec<Member> {
-        let sees = |it: &Beacon| {
-            let view = it.view(group)?;
-            (!it.leaving && view.sighting == Sighting::Leads).then(|| member(it))
-        };
-        self.select(now, VIEW_HOLDS_FOR, sees)
+    /// Takes `members` for instances at work until they are heard, but no longer than to `until`.
+    pub(crate) fn expect(&self, members: Vec<Member>, until: BootInstant) {
+        *self.expected.borrow_mut() = members;
+        self.expected_until.set(Some(until));
+        self.cached.replace(None);
+    }
+
+    /// Changes whenever the members do.
+    pub(crate) fn epoch(&self, now: BootInstant) -> Epoch {
+        let expecting = self.expected_until.get().is_some_and(|until| now < until);
+        Epoch { generation: self.membership.borrow().generation(), expecting }
+    }
+
+    /// The instances that take work, this one included.
+    pub fn members(&self, now: BootInstant) -> Rc<Vec<Member>> {
+        let epoch = self.epoch(now);
+        let cached = self
+            .cached
+            .borrow()
+            .as_ref()
+            .filter(|it| it.epoch == epoch)
+            .map(|it| Rc::clone(&it.members));
+        if let Some(members) = cached {
+            return members;
+        }
+        let members = Rc::new(self.collect_members(epoch));
+        self.cached.replace(Some(CachedMembers { epoch, members: Rc::clone(&members) }));
+        members
     }
 
-    /// Whether any other instance lately saw `group` led by somebody.
-    pub fn others_see_leader(&self, group: &GroupName, now: BootInstant) -> bool {
-        let sees = |it: &Beacon| {
-            let view = it.view(group)?;
-            (view.sighting == Sighting::Leads).then_some(())
-        };
-        !self.select(now, VIEW_HOLDS_FOR, sees).is_empty()
+    fn collect_members(&self, epoch: Epoch) -> Vec<Member> {
+        let membership = self.membership.borrow();
+        let mut members: Vec<Member> = membership.members().cloned().collect();
+        if epoch.expecting {
+            let expected = self.expected.borrow();
+            members.extend(expected.iter().filter(|it| !membership.knows(&it.id)).cloned());
+        }
+        members.push(self.own.clone());
+        members
     }
 
-    /// Other instances that lately saw no working leader in `group`, or saw this one fail.
-    pub fn see_no_leader(
-        &self,
-        group: &GroupName,
-        leader: Option<&MemberName>,
-        now: BootInstant,
-    ) -> usize {
-        let against = |it: &Beacon| {
-            let view = it.view(group)?;
-            match view.sighting {
-                Sighting::NoLeader => Some(()),
-                Sighting::Dark => {
-                    (view.leader.as_ref() == leader || leader.is_none()).then_some(())
-                }
-                Sighting::Leads | Sighting::Unsure => None,
-            }
-        };
-        self.select(now, VIEW_HOLDS_FOR, against).len()
+    /// Other instances that are alive, those on their way out included.
+    pub(crate) fn running(&self) -> usize {
+        self.membership.borrow().running().count()
     }
 
-    /// The instances alive whose news are newer than `version` and `revision`.
-    pub fn ahead(&self, version: u64, revision: Option<u64>, now: BootInstant) -> Vec<Member> {
-        let is_ahead = |it: &Beacon| {
-            let list = revision.is_some_and(|known| it.target_revision > known && it.reaches_store);
-            (it.catalogue_version > version || list).then(|| member(it))
-        };
-        self.select(now, self.alive_for(), is_ahead)
+    /// Whether `id` is alive, on its way out or not.
+    pub(crate) fn is_running(&self, id: &InstanceId, now: BootInstant) -> bool {
+        let is_member = || self.membership.borrow().running().any(|it| it.id == *id);
+        self.views.is_heard(id, now) || is_member()
     }
 
-    fn select<T>(
-        &self,
-        now: BootInstant,
-        within: Duration,
-        pick: impl Fn(&Beacon) -> Option<T>,
-    ) -> Vec<T> {
-        let heard = self.heard.borrow();
-        heard
-            .values()
-            .filter(|it| now.since(it.at) < within)
-            .filter_map(|it| pick(&it.beacon))
-            .collect()
+    /// Whether most of the instances that count are out of this one's reach.
+    pub fn is_isolated(&self, now: BootInstant) -> bool {
+        self.membership.borrow().is_isolated(now)
     }
-}
 
-fn member(beacon: &Beacon) -> Member {
-    Member {
-        id: beacon.from.clone(),
-        address: beacon.address,
-        data_centre: beacon.data_centre.clone(),
-        strength: beacon.strength,
+    /// Instances that count in majorities, this one included.
+    pub fn counted(&self, now: BootInstant) -> usize {
+        self.membership.borrow().counted(now)
     }
 }
--- a/crates/gullspar_direct/src/proxy.rs
+++ b/crates/gullspar_direct/src/proxy.rs
@@ -9,9 +9,10 @@
 use gullspar_border::{BootInstant, within};
 use gullspar_model::{DataCentre, GroupName, InstanceId};
 
-use crate::census::Census;
+use crate::discovery::Discovery;
 use crate::group::Group;
-use crate::{Borders, CutOff, Directory, PeerTable, Phase, Shutdown};
+use crate::home_plan::HomePlan;
+use crate::{Borders, CutOff, Directory, Member, PeerTable, Phase, Shutdown};
 
 /// Time after start in which a missing leader is not held against a group.
 pub(crate) const SETTLE: Duration = Duration::from_millis(1500);
@@ -38,6 +39,18 @@
     pub leaving_serves: Duration,
 }
 
+impl Identity {
+    /// This instance as others know it.
+    pub(crate) fn member(&self) -> Member {
+        Member {
+            id: self.id.clone(),
+            address: self.address,
+            data_centre: self.data_centre.clone(),
+            strength: self.strength,
+        }
+    }
+}
+
 /// Everything that serving callers needs.
 pub struct Proxy {
     pub(crate) borders: Borders,
@@ -45,12 +58,14 @@
     pub directory: Rc<Directory>,
     pub peers: Rc<PeerTable>,
     pub shutdown: Rc<Shutdown>,
-    pub(crate) census: Census,
+    pub(crate) discovery: Discovery,
     pub(crate) groups: RefCell<BTreeMap<GroupName, Rc<Group>>>,
     /// Homes that could not be reached, and until when they come last.
     pub(crate) avoided_homes: RefCell<BTreeMap<InstanceId, Instant>>,
     /// Groups that are served here for sessions that were handed on, and until when.
     pub(crate) held: RefCell<BTreeMap<GroupName, Instant>>,
+    /// The homes of groups, as last worked out.
+    pub(crate) home_plans: RefCell<BTreeMap<GroupName, HomePlan>>,
     pub(crate) store_heard: RefCell<Option<BootInstant>>,
     pub(crate) started: Instant,
     /// It has been able to serve callers.
@@ -63,14 +78,15 @@
         let started = borders.clock.now();
         Rc::new(Proxy {
             borders,
+            peers: Rc::new(PeerTable::new(own.member(), seeds)),
             own,
             directory: Rc::default(),
-            peers: Rc::new(PeerTable::new(seeds)),
             shutdown: Rc::default(),
-            census: Census::default(),
+            discovery: Discovery::default(),
             groups: RefCell::default(),
             avoided_homes: RefCell::default(),
             held: RefCell::default(),
+            home_plans: RefCell::default(),
             store_heard: RefCell::new(None),
             started,
             useful: Cell::new(false),
@@ -79,9 +95,9 @@
 
     /// Keeps groups, capacities and other instances' news up to date; never ends.
     pub async fn run(self: Rc<Self>) {
-        compio::runtime::spawn(Rc::clone(&self).send_beacons()).detach();
+        compio::runtime::spawn(Rc::clone(&self).send_heartbeats()).detach();
         compio::runtime::spawn(Rc::clone(&self).follow_peers()).detach();
-        compio::runtime::spawn(Rc::clone(&self).judge_itself()).detach();
+        compio::runtime::spawn(Rc::clone(&self).look_around()).detach();
         compio::runtime::spawn(Rc::clone(&self).find_others()).detach();
         loop {
             let changed = self.directory.listen();
@@ -98,7 +114,7 @@
     /// Whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
         self.directory.is_usable()
-            && self.census.is_taken()
+            && self.discovery.is_done()
             && self.shutdown.phase() == Phase::Serving
             && self.shutdown.cut_off() == CutOff::No
             && self.has_been_useful()
--- a/crates/gullspar_direct/src/shutdown.rs
+++ b/crates/gullspar_direct/src/shutdown.rs
@@ -92,8 +92,8 @@
         self.sessions.set(self.sessions.get() + 1);
     }
 
+    /// Wakes nobody: all other sessions would look whether they should end, each time that one does.
     pub(crate) fn session_closed(&self) {
         self.sessions.set(self.sessions.get() - 1);
-        self.changed.notify(usize::MAX);
     }
 }
--- /dev/null
+++ b/crates/gullspar_direct/src/views.rs
@@ -0,0 +1,195 @@
+//! What instances that were heard say of groups and of themselves.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use gullspar_border::BootInstant;
+use gullspar_membership::{COUNTS_FOR, Member};
+use gullspar_model::{GroupName, InstanceId, MemberName};
+
+use crate::{Heartbeat, LeaderHealth};
+
+/// An instance heard within this time is alive: five heartbeats in a row may get lost.
+const ALIVE_FOR: Duration = Duration::from_millis(1200);
+
+/// A view of a group older than this says nothing about its leader any more.
+const VIEW_HOLDS_FOR: Duration = Duration::from_millis(700);
+
+/// A view older than this no longer shows that nobody has decided on another leader.
+///
+/// One heartbeat may get lost. Behind a cut the others need 70 to 300 ms to see that the leader is out of their reach,
+/// and have ordered its successor 400 ms after the cut.
+const VOUCH_HOLDS_FOR: Duration = Duration::from_millis(350);
+
+struct Heard {
+    heartbeat: Heartbeat,
+    at: BootInstant,
+}
+
+/// The newest heartbeat of each instance that sends some here: contacts, and those that look at the same groups.
+///
+/// The latter tell each other directly, so that how old a view is does not depend on the size of the fleet.
+#[derive(Default)]
+pub(crate) struct Views {
+    heard: RefCell<BTreeMap<InstanceId, Heard>>,
+}
+
+impl Views {
+    pub(crate) fn take(&self, heartbeat: Heartbeat, now: BootInstant) {
+        let from = heartbeat.from().clone();
+        self.heard.borrow_mut().insert(from, Heard { heartbeat, at: now });
+    }
+
+    /// Forgets instances that were silent for so long that they count no more.
+    pub(crate) fn forget_silent(&self, now: BootInstant) {
+        self.heard.borrow_mut().retain(|_, it| now.since(it.at) < COUNTS_FOR);
+    }
+
+    /// Names of the instances that look at `group` and stay.
+    pub(crate) fn looking_at(&self, group: &GroupName, now: BootInstant) -> Vec<InstanceId> {
+        self.select(now, ALIVE_FOR, |it| {
+            let has_view = it.view(group).is_some();
+            (!it.is_leaving() && has_view).then(|| it.from().clone())
+        })
+    }
+
+    /// Addresses of the instances that look at any of `groups`.
+    pub(crate) fn addresses_looking_at(
+        &self,
+        groups: &[GroupName],
+        now: BootInstant,
+    ) -> Vec<SocketAddr> {
+        self.select(now, COUNTS_FOR, |it| {
+            it.views.iter().any(|it| groups.contains(&it.group)).then_some(it.address())
+        })
+    }
+
+    /// Whether `id` was heard lately.
+    pub(crate) fn is_heard(&self, id: &InstanceId, now: BootInstant) -> bool {
+        self.heard.borrow().get(id).is_some_and(|it| now.since(it.at) < ALIVE_FOR)
+    }
+
+    /// Instances that count in a majority about `group`, this one included: those that look at it.
+    pub(crate) fn counted_for(&self, group: &GroupName, now: BootInstant) -> usize {
+        let looks = |it: &Heartbeat| {
+            let has_view = it.view(group).is_some();
+            (!it.is_leaving() && has_view).then_some(())
+        };
+        1 + self.select(now, COUNTS_FOR, looks).len()
+    }
+
+    /// Whether at least half of the instances that count see `leader` lead `group`.
+    pub(crate) fn others_see_lead(
+        &self,
+        group: &GroupName,
+        leader: &MemberName,
+        now: BootInstant,
+    ) -> bool {
+        let sees = |it: &Heartbeat| {
+            let view = it.view(group)?;
+            let leads = view.health == LeaderHealth::Leads && view.leader.as_ref() == Some(leader);
+            leads.then_some(())
+        };
+        2 * self.select(now, VIEW_HOLDS_FOR, sees).len() > self.counted_for(group, now)
+    }
+
+    /// Whether most of the instances that count, this one included, have spoken since `since` and not against
+    /// `leader` of `group`.
+    ///
+    /// A promotion needs half of them against the leader, so that none had been decided on as of `since`.
+    pub(crate) fn vouch_for(
+        &self,
+        group: &GroupName,
+        leader: &MemberName,
+        since: BootInstant,
+        now: BootInstant,
+    ) -> bool {
+        let vouches = |it: &Heartbeat| {
+            let view = it.view(group)?;
+            let not_against = match view.health {
+                LeaderHealth::Leads => view.leader.as_ref() == Some(leader),
+                // One that has just started has no say yet.
+                LeaderHealth::Unsure => true,
+                LeaderHealth::Dark | LeaderHealth::NoLeader => false,
+            };
+            not_against.then_some(())
+        };
+        let vouching = 1 + self.select(now, now.since(since).min(VOUCH_HOLDS_FOR), vouches).len();
+        2 * vouching > self.counted_for(group, now)
+    }
+
+    /// Other instances that take work and lately saw `group` led by somebody.
+    pub(crate) fn seeing_leader(&self, group: &GroupName, now: BootInstant) -> Vec<Member> {
+        let sees = |it: &Heartbeat| {
+            let view = it.view(group)?;
+            let leads = view.health == LeaderHealth::Leads;
+            (!it.is_leaving() && leads).then(|| it.member().clone())
+        };
+        self.select(now, VIEW_HOLDS_FOR, sees)
+    }
+
+    /// Whether any other instance lately saw `group` led by somebody.
+    pub(crate) fn others_see_leader(&self, group: &GroupName, now: BootInstant) -> bool {
+        let sees = |it: &Heartbeat| {
+            let view = it.view(group)?;
+            (view.health == LeaderHealth::Leads).then_some(())
+        };
+        !self.select(now, VIEW_HOLDS_FOR, sees).is_empty()
+    }
+
+    /// Other instances that lately saw no working leader in `group`, or saw this one fail.
+    pub(crate) fn see_no_leader(
+        &self,
+        group: &GroupName,
+        leader: Option<&MemberName>,
+        now: BootInstant,
+    ) -> usize {
+        let against = |it: &Heartbeat| {
+            let view = it.view(group)?;
+            match view.health {
+                LeaderHealth::NoLeader => Some(()),
+                LeaderHealth::Dark => {
+                    (view.leader.as_ref() == leader || leader.is_none()).then_some(())
+                }
+                LeaderHealth::Leads | LeaderHealth::Unsure => None,
+            }
+        };
+        self.select(now, VIEW_HOLDS_FOR, against).len()
+    }
+
+    /// The instances heard lately whose news are newer than `version` and `revision`.
+    ///
+    /// A list of targets is taken from one that knows of an instance that the store still answers: one that is cut off
+    /// from it may hold a list from a moment at which most entries had lapsed.
+    pub(crate) fn ahead(
+        &self,
+        version: u64,
+        revision: Option<u64>,
+        store_known_for: Duration,
+        now: BootInstant,
+    ) -> Vec<Member> {
+        let limit = store_known_for.as_millis();
+        let is_ahead = |it: &Heartbeat| {
+            let by_store = it.store_age_ms.is_some_and(|age| u128::from(age) < limit);
+            let list = revision.is_some_and(|known| it.target_revision > known && by_store);
+            (it.catalogue_version > version || list).then(|| it.member().clone())
+        };
+        self.select(now, ALIVE_FOR, is_ahead)
+    }
+
+    fn select<T>(
+        &self,
+        now: BootInstant,
+        within: Duration,
+        pick: impl Fn(&Heartbeat) -> Option<T>,
+    ) -> Vec<T> {
+        let heard = self.heard.borrow();
+        heard
+            .values()
+            .filter(|it| now.since(it.at) < within)
+            .filter_map(|it| pick(&it.heartbeat))
+            .collect()
+    }
+}
--- a/crates/gullspar_direct/tests/detour.rs
+++ b/crates/gullspar_direct/tests/detour.rs
@@ -66,7 +66,7 @@
         let _proxies = world.instances(3).await;
         (0..3).for_each(|it| world.group.set(it, Fault::FullTo(4)));
         let late = world.instance(4);
-        // It hears the others within two beacons.
+        // It hears the others within two heartbeats.
         pause(450).await;
         let caller = world.caller(&late, LATEST).await;
         let asked = std::time::Instant::now();
--- a/crates/gullspar_direct/tests/failover.rs
+++ b/crates/gullspar_direct/tests/failover.rs
@@ -53,13 +53,13 @@
     run(async {
         let world = World::new();
         let proxies = world.instances(3).await;
+        let idle = world.caller(&proxies[2], BOUNDED).await;
         world.network.cut(3);
         world.group.set(0, Fault::DarkTo(3));
         until(3000, "the instance is not ready", || !proxies[2].is_ready()).await;
         pause(1000).await;
         assert_eq!(world.promoter.orders(), []);
         assert!(proxies[0].is_ready() && proxies[1].is_ready());
-        let idle = world.caller(&proxies[2], BOUNDED).await;
         assert_eq!(
             idle.next().await,
             None,
--- a/crates/gullspar_direct/tests/homes.rs
+++ b/crates/gullspar_direct/tests/homes.rs
@@ -117,7 +117,7 @@
 
 /// Symptom: after a power loss of a large fleet targets reset thousands of connections, and for four
 /// seconds a tenth of the callers is served in time.
-/// Events: all instances start at the same moment, and callers come before the first beacons.
+/// Events: all instances start at the same moment, and callers come before the first heartbeats.
 /// Cause: each had heard nobody, took itself for the only one, and connected to all targets.
 #[test]
 fn instances_that_start_together_do_not_each_take_themselves_for_the_only_one() {
@@ -196,7 +196,7 @@
 }
 
 /// Symptom: for seconds after a home has died all new sessions of its group are refused.
-/// Events: the only home of a data centre is cut off; beacons show it a second later at the earliest.
+/// Events: the only home of a data centre is cut off; heartbeats show it a second later at the earliest.
 /// Cause: only homes were asked. Now the next in rank stand in, and the home is tried last for a while.
 #[test]
 fn another_instance_stands_in_for_a_home_out_of_reach() {
@@ -251,7 +251,7 @@
         let proxies = many(&world).await;
         let entry = no_home(&proxies);
         entry.directory.apply_catalogue(with_added_service(3));
-        // The home hears of it within a beacon and a fetch.
+        // The home hears of it within a heartbeat and a fetch.
         world.caller(entry, ADDED).await.done("WRITE slot mine").await;
     });
 }
--- a/crates/gullspar_direct/tests/news.rs
+++ b/crates/gullspar_direct/tests/news.rs
@@ -16,13 +16,13 @@
 /// The time in which all of them have heard of all, in milliseconds.
 const HEARD_WITHIN: u64 = 3000;
 
-/// In which time an instance has what others know, in milliseconds: a beacon, a look and a fetch.
+/// In which time an instance has what others know, in milliseconds: a heartbeat, a look and a fetch.
 const TOLD_WITHIN: u64 = 1000;
 
 /// Waits until each instance has heard of all others itself, not only how many there are.
 async fn all_know_each_other(world: &World, proxies: &[Rc<Proxy>]) {
     let knows_all =
-        |it: &Rc<Proxy>| it.peers.members(world.clock.boot_now()).len() + 1 == proxies.len();
+        |it: &Rc<Proxy>| it.peers.members(world.clock.boot_now()).len() == proxies.len();
     until(HEARD_WITHIN, "all know each other", || proxies.iter().all(knows_all)).await;
 }
 
--- a/crates/gullspar_direct/tests/start_behind_a_cut.rs
+++ b/crates/gullspar_direct/tests/start_behind_a_cut.rs
@@ -4,12 +4,12 @@
 
 mod support;
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use gullspar_border::BootInstant;
-use gullspar_direct::{CountNote, PeerTable};
+use gullspar_direct::serve_caller;
 use gullspar_statement::FailureCode;
-use support::{Fault, LATEST, World, pause, run, until};
+use support::{FakeCaller, Fault, LATEST, World, pause, run, until};
 
 /// The time in which an instance that has just started hears of its neighbours, in milliseconds.
 const HEARD_WITHIN: u64 = 600;
@@ -36,9 +36,10 @@
         let started = world.instance(5);
         pause(HEARD_WITHIN).await;
         assert!(!started.is_ready());
-        let caller = world.caller(&started, LATEST).await;
+        let (caller, link) = FakeCaller::new();
+        compio::runtime::spawn(serve_caller(Rc::clone(&started), Box::new(link))).detach();
         let asked = Instant::now();
-        assert_eq!(caller.refused("WRITE slot mine").await, FailureCode::Congested);
+        assert_eq!(caller.opening_refused(LATEST).await, FailureCode::Congested);
         assert!(asked.elapsed() < AT_ONCE, "refused after {:?}", asked.elapsed());
         world.network.heal();
         (0..3).for_each(|it| world.group.mend(it));
@@ -65,35 +66,3 @@
         assert!(proxy.is_ready());
     });
 }
-
-/// A count that is passed on between two instances gets no younger, so that instances that are gone for good
-/// stop counting.
-#[test]
-fn a_count_that_is_passed_on_grows_old() {
-    let at = |s: u64| BootInstant(1_000_000_000 + s * 1_000_000);
-    let table = PeerTable::new([]);
-    let other = PeerTable::new([]);
-    let beacon = |from: &PeerTable, now| support::beacon(9, from.count_to_tell(now));
-    table.take(support::beacon(8, CountNote { instances: 9, age_ms: 1000 }), at(0));
-    assert_eq!(table.counted(at(0)), 9);
-    for second in 1..20 {
-        other.take(beacon(&table, at(second)), at(second));
-        table.take(beacon(&other, at(second)), at(second));
-    }
-    // Instance 8 was heard here, and counted until 15 s had passed.
-    assert!(other.counted(at(20)) <= 3, "{}", other.counted(at(20)));
-    assert!(table.counted(at(20)) <= 3, "{}", table.counted(at(20)));
-}
-
-/// Symptom: an instance behind a cut takes its side for the whole some seconds early.
-/// Events: neighbours tell the same count, one from long ago last.
-/// Cause: the last one told was kept, whose time ends first.
-#[test]
-fn of_two_equal_counts_the_younger_is_kept() {
-    let table = PeerTable::new([]);
-    let now = BootInstant(100_000_000);
-    for age_ms in [1_000, 14_000] {
-        table.take(support::beacon(8, CountNote { instances: 9, age_ms }), now);
-    }
-    assert_eq!(table.counted(now.plus(Duration::from_secs(5))), 9);
-}
--- a/crates/gullspar_direct/tests/support/fake_peers.rs
+++ b/crates/gullspar_direct/tests/support/fake_peers.rs
@@ -10,7 +10,8 @@
 use futures::future::LocalBoxFuture;
 use gullspar_border::PeerError;
 use gullspar_direct::{
-    Beacon, HandedOn, HomeLink, PeerChannel, Proxy, Snapshot, SnapshotRequest, serve_relayed_caller,
+    HandedOn, Heartbeat, HomeLink, PeerChannel, Proxy, Snapshot, SnapshotRequest,
+    serve_relayed_caller,
 };
 
 use super::fake_relay;
@@ -83,9 +84,9 @@
 }
 
 impl PeerChannel for Channel {
-    fn send(&self, to: SocketAddr, beacon: &Beacon) {
+    fn send(&self, to: SocketAddr, heartbeat: &Heartbeat) {
         if let Some(proxy) = self.network.reach(self.own, to) {
-            proxy.take_beacon(beacon.clone());
+            proxy.take_heartbeat(heartbeat.clone());
         }
     }
 
--- a/crates/gullspar_direct/tests/support/mod.rs
+++ b/crates/gullspar_direct/tests/support/mod.rs
@@ -20,8 +20,8 @@
 
 use gullspar_border::Clock;
 use gullspar_direct::{
-    Beacon, Borders, Catalogue, CountNote, Freshness, GroupLimits, Identity, Member, Proxy, Route,
-    Stats, TargetList, serve_caller,
+    Borders, Catalogue, Freshness, GroupLimits, Identity, Member, Proxy, Route, Stats, TargetList,
+    serve_caller,
 };
 use gullspar_model::{GroupName, InstanceId, ServiceName};
 use gullspar_net::{SystemClock, SystemEntropy};
@@ -225,24 +225,6 @@
     }
 }
 
-/// A beacon of instance `number` that tells `counted` and little else.
-pub fn beacon(number: u16, counted: CountNote) -> Beacon {
-    let Member { id, address, data_centre, strength } = member(number);
-    Beacon {
-        from: id,
-        address,
-        data_centre,
-        strength,
-        leaving: false,
-        catalogue_version: 1,
-        target_revision: 1,
-        reaches_store: true,
-        views: Vec::new(),
-        counted,
-        known: Vec::new(),
-    }
-}
-
 /// A world with one instance that knows its leader.
 pub async fn settled() -> (World, Rc<Proxy>) {
     let world = World::new();
--- a/crates/gullspar_net/src/datagram_peers.rs
+++ b/crates/gullspar_net/src/datagram_peers.rs
@@ -1,4 +1,4 @@
-//! Beacons as datagrams; snapshots and sessions over connections.
+//! Heartbeats as datagrams; snapshots and sessions over connections.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -10,15 +10,16 @@
 use futures::future::LocalBoxFuture;
 use gullspar_border::{Clock, PeerError, within};
 use gullspar_direct::{
-    Beacon, HandedOn, HomeLink, PeerChannel, Proxy, Snapshot, SnapshotRequest, serve_relayed_caller,
+    HandedOn, Heartbeat, HomeLink, PeerChannel, Proxy, Snapshot, SnapshotRequest,
+    serve_relayed_caller,
 };
 
 use crate::TcpLink;
 use crate::framed::{Framed, Hello};
 use crate::relay_link::{RelayedCaller, TcpHomeLink};
 
-/// The longest beacon that is sent, in bytes; it fits a datagram on every usual link.
-const BEACON_LIMIT: usize = 8 * 1024;
+/// The longest heartbeat that is sent, in bytes; it fits a datagram on every usual link.
+const HEARTBEAT_LIMIT: usize = 8 * 1024;
 
 /// How long an instance that connects may take to say what it wants, and to take a snapshot.
 const SERVE_WITHIN: Duration = Duration::from_secs(2);
@@ -37,15 +38,15 @@
 }
 
 impl PeerChannel for DatagramPeers {
-    fn send(&self, to: SocketAddr, beacon: &Beacon) {
-        let bytes = match postcard::to_stdvec(beacon) {
-            Ok(bytes) if bytes.len() <= BEACON_LIMIT => bytes,
+    fn send(&self, to: SocketAddr, heartbeat: &Heartbeat) {
+        let bytes = match postcard::to_stdvec(heartbeat) {
+            Ok(bytes) if bytes.len() <= HEARTBEAT_LIMIT => bytes,
             Ok(bytes) => {
-                log::warn!(bytes = bytes.len(); "G0735 a beacon is too long and is not sent");
+                log::warn!(bytes = bytes.len(); "G0735 a heartbeat is too long and is not sent");
                 return;
             }
             Err(err) => {
-                log::error!(reason = err.to_string().as_str(); "G0736 a beacon can't be written");
+                log::error!(reason = err.to_string().as_str(); "G0736 a heartbeat can't be written");
                 return;
             }
         };
@@ -53,7 +54,7 @@
         let send = async move {
             let BufResult(result, _) = socket.send_to(bytes, to).await;
             if let Err(err) = result {
-                log::debug!(to = to.to_string().as_str(), reason = err.to_string().as_str(); "G0737 a beacon was not sent");
+                log::debug!(to = to.to_string().as_str(), reason = err.to_string().as_str(); "G0737 a heartbeat was not sent");
             }
         };
         compio::runtime::spawn(send).detach();
@@ -95,20 +96,20 @@
     }
 }
 
-/// Takes the beacons that arrive on `socket`; never ends.
-pub async fn receive_beacons(socket: UdpSocket, proxy: Rc<Proxy>) {
+/// Takes the heartbeats that arrive on `socket`; never ends.
+pub async fn receive_heartbeats(socket: UdpSocket, proxy: Rc<Proxy>) {
     loop {
-        let buf = Vec::with_capacity(BEACON_LIMIT);
+        let buf = Vec::with_capacity(HEARTBEAT_LIMIT);
         let BufResult(received, buf) = socket.recv_from(buf).await;
         match received {
             Ok((length, from)) => match postcard::from_bytes(&buf[..length.min(buf.len())]) {
-                Ok(beacon) => proxy.take_beacon(beacon),
+                Ok(heartbeat) => proxy.take_heartbeat(heartbeat),
                 Err(err) => {
-                    log::debug!(from = from.to_string().as_str(), reason = err.to_string().as_str(); "G0738 a beacon is unreadable");
+                    log::debug!(from = from.to_string().as_str(), reason = err.to_string().as_str(); "G0738 a heartbeat is unreadable");
                 }
             },
             Err(err) => {
-                log::debug!(reason = err.to_string().as_str(); "G0739 receiving beacons failed");
+                log::debug!(reason = err.to_string().as_str(); "G0739 receiving heartbeats failed");
             }
         }
     }
--- a/crates/gullspar_net/src/lib.rs
+++ b/crates/gullspar_net/src/lib.rs
@@ -18,7 +18,7 @@
 mod tcp_link;
 mod timer_context;
 
-pub use datagram_peers::{DatagramPeers, receive_beacons, serve_instances};
+pub use datagram_peers::{DatagramPeers, receive_heartbeats, serve_instances};
 pub use http_platform::HttpPlatform;
 pub use metrics_server::serve_metrics;
 pub use peer_server::serve_peers;
--- a/crates/gullspar_settings/src/direct_settings.rs
+++ b/crates/gullspar_settings/src/direct_settings.rs
@@ -22,7 +22,7 @@
         pub caller_address: SocketAddr,
         /// Address on which the balancer asks whether callers may be sent here.
         pub health_address: SocketAddr,
-        /// Address on which other instances send beacons and ask for configuration, the same port
+        /// Address on which other instances send heartbeats and ask for configuration, the same port
         /// everywhere.
         pub peer_address: SocketAddr,
         /// Addresses of a few instances to begin with; their port is taken to be that of
