--- a/crates/gullspar_direct/src/attempt.rs
+++ b/crates/gullspar_direct/src/attempt.rs
@@ -14,14 +14,14 @@
 use crate::request::Request;
 use crate::target::Target;
 
-/// How long opening or closing a transaction of our own around a read may take; targets answer it in 0.5
-/// to 2 ms without a slot.
+/// How long opening or closing a transaction of our own around a read may take; targets answer it
+/// without a slot.
 const BRACKET_WITHIN: Duration = Duration::from_millis(400);
 
 /// How long a statement without an answer keeps others from its place at the target.
 ///
-/// Its answer is probably lost then: statements take 4 to 80 ms. Held until the deadline, one lost answer
-/// would stop an instance's only place at a leader for a second.
+/// Its answer is probably lost then: statements take a third of this at the most. Held until the deadline, one lost
+/// answer would stop an instance's only place at a leader.
 const PLACE_HELD_FOR: Duration = Duration::from_millis(250);
 
 /// How one try ended.
--- a/crates/gullspar_direct/src/confirmation.rs
+++ b/crates/gullspar_direct/src/confirmation.rs
@@ -17,8 +17,8 @@
 
 /// How long a write waits for a replica.
 ///
-/// Replicas have a commit after 8 to 20 ms, and callers want an answer within 120 to 200. With replicas
-/// that receive nothing a write is acknowledged by the leader alone after this time, and counted.
+/// Long enough for a replica that keeps up, and short before what callers want. With replicas that receive nothing a
+/// write is acknowledged by the leader alone after this time, and counted.
 const CONFIRM_WITHIN: Duration = Duration::from_millis(80);
 
 /// How long a write waits while replicas are known to be further behind than that: the full wait would
@@ -32,8 +32,8 @@
 /// replicas that are far behind are not asked twenty times for nothing.
 const FIRST_PAUSE: Duration = Duration::from_millis(5);
 
-/// Between two looks at whether a commit that only its leader has may be acknowledged; heartbeats come every
-/// 200 ms.
+/// Between two looks at whether a commit that only its leader has may be acknowledged; heartbeats come
+/// four times as seldom.
 const VOUCH_PAUSE: Duration = Duration::from_millis(50);
 
 /// A commit that its leader has answered.
@@ -121,8 +121,8 @@
     /// replacing it, and no cut can lie between this instance with the leader and most others.
     ///
     /// Behind a cut, an instance that is alone with the leader hears nothing of the promotion that the
-    /// others order. What it acknowledged from the cut on until the promotion took effect, 0.4 to 1.4 s, was
-    /// rolled back, seen as confirmed bookings that are gone: 4 to 12 in each such cut.
+    /// others order. What it acknowledged from the cut on until the promotion took effect would be
+    /// rolled back, seen as confirmed bookings that are gone.
     fn may_stand_alone(&self, group: &Group, asked: BootInstant) -> bool {
         let Some(leader) = group.leader() else { return false };
         let now = self.borders.clock.boot_now();
--- a/crates/gullspar_direct/src/connection_pool.rs
+++ b/crates/gullspar_direct/src/connection_pool.rs
@@ -15,14 +15,13 @@
 
 /// How long opening a connection may take, its handshake included.
 ///
-/// Handshakes take 12 to 27 ms and queue for a slot; a target that needs longer is as good as away.
+/// Handshakes are short and queue for a slot; a target that needs longer is as good as away.
 const OPEN_WITHIN: Duration = Duration::from_millis(600);
 
 /// How long a connection of our own may take to come back before another one is opened.
 ///
-/// A read on a leader ends with a rollback, answered in 0.5 to 2 ms after the caller has its answer. A
-/// statement that came within them opened another connection, which takes one of two to six slots for 12 to
-/// 27 ms. Waited for, 473 connections are opened on a quiet day of nine instances in place of 541.
+/// A read on a leader ends with a rollback, which is answered a moment after the caller has its answer. A statement
+/// that comes in between would open another connection, and that takes a slot for longer than this.
 const RETURN_WITHIN: Duration = Duration::from_millis(4);
 
 /// Pause after a target refused a further connection.
--- a/crates/gullspar_direct/src/detour.rs
+++ b/crates/gullspar_direct/src/detour.rs
@@ -2,8 +2,6 @@
 //!
 //! A leader may be cut off from some instances only. As long as most others use it, it is not replaced, and
 //! what this instance refuses would be served by its neighbour. A caller's next try may meet one like it.
-//! Two cuts of 8 s between a leader and 40 to 45 % of seven instances, one run each: 326 of 13,400
-//! callers were refused without ways around, 20 with them.
 
 use std::time::Duration;
 
@@ -15,11 +13,11 @@
 /// all within half a second; then there is no way around.
 const LACKING_FOR: Duration = Duration::from_millis(600);
 
-/// How long it says that there is no room for this instance when a target refused it a connection; refused, a
-/// check is made again after 200 ms.
+/// How long it says that there is no room for this instance when a target refused it a connection:
+/// longer than the pause between two checks.
 ///
-/// Such a target works, so that there is no need to wait for [`LACKING_FOR`]. After a power loss of all, targets
-/// keep the connections of the dead for 3 s, and 5 of 27 pairs of instance and group found no room until then.
+/// Such a target works, so that there is no need to wait for [`LACKING_FOR`]. After a power loss of all, targets keep the
+/// connections of the dead for seconds, and have no room for all of the living until then.
 const FULL_FOR: Duration = Duration::from_millis(500);
 
 /// One in this many of the instances that look at the group must see it led. The view of a single one may
--- a/crates/gullspar_direct/src/discovery.rs
+++ b/crates/gullspar_direct/src/discovery.rs
@@ -2,10 +2,8 @@
 //!
 //! How many connections an instance may open, and whether it opens any, follows from the number of
 //! instances. One that has just started has heard nobody and would take itself for the only one. After
-//! a power loss of all 73 instances of a large fleet each of them did, for about a second: each opened
-//! connections to all targets and sent them as much as if it were alone, targets reset 2,700
-//! connections and turned away half of 116,000 statements, and the first four seconds served a tenth of
-//! the callers in time.
+//! a power loss of all, each would open connections to all targets and send them as much as if it were alone; targets
+//! would reset most connections and turn away half of the statements, and hardly a caller would be served in time.
 
 use std::cell::Cell;
 use std::rc::Rc;
--- a/crates/gullspar_direct/src/failover.rs
+++ b/crates/gullspar_direct/src/failover.rs
@@ -180,8 +180,8 @@
     /// Orders the promotion, again with the same token while no answer comes.
     ///
     /// Twice carried out it changes nothing, and one that is carried out seconds late is void once a higher token
-    /// was used. Waited for in vain, a lost order left its group without a leader for 2.7 s more: 1.8 s in which it
-    /// might yet have shown, and the next claim.
+    /// was used. Waited for in vain, a lost order would leave its group without a leader for the time in
+    /// which it might yet show, and the next claim.
     async fn order(&self, claim: &Claim, token: FencingToken) -> Result<(), PromoteError> {
         let mut tries = 1;
         loop {
--- a/crates/gullspar_direct/src/home_plan.rs
+++ b/crates/gullspar_direct/src/home_plan.rs
@@ -11,8 +11,8 @@
 
 /// The homes of one group and what they follow from.
 ///
-/// Ranking hundreds of instances for each group at each look, and for each session, took a small machine more than a
-/// hundredth of its processor.
+/// Ranking hundreds of instances for each target at each look, and for each session, would take a small machine a good
+/// part of its processor.
 pub(crate) struct HomePlan {
     epoch: Epoch,
     allowance: Allowance,
--- a/crates/gullspar_direct/src/homes.rs
+++ b/crates/gullspar_direct/src/homes.rs
@@ -29,8 +29,8 @@
 /// How many homes a group has in each data centre; `None` if every instance connects itself.
 ///
 /// No more than can each run a statement: all of them together may use one and a half times the slots.
-/// Five homes in each of five data centres for three slots sent up to 25 statements at once; they waited
-/// in the target's own queue, where neither priority nor deadline counts, and overflowed it.
+/// More of them would send more at once, which would wait in the target's own queue, where neither priority nor deadline
+/// counts, and overflow it.
 fn homes_each(allowance: Allowance, members: &[Member]) -> Option<usize> {
     let planned = admission_limit::planned(allowance.connections) as usize;
     if planned / members.len().max(1) >= LEAST_SHARE {
@@ -111,8 +111,8 @@
 
 /// Rendezvous hashing weighted by the square of the processor: the nearest is the home.
 ///
-/// A home serves the sessions of a whole data centre for its group. Where some machines have 0.12 of
-/// a core and others 0.5, it should be one of the latter, but not of all groups the same one.
+/// A home serves the sessions of a whole data centre for its group. Where machines differ, it should be one
+/// of the strong, but not of all groups the same one.
 fn distance(group: &GroupName, member: &Member) -> u64 {
     let uniform = (weight(group, &member.id) as f64 + 1.0) / (u64::MAX as f64 + 1.0);
     let strength = f64::from(member.strength.max(1));
--- a/crates/gullspar_direct/src/news_source.rs
+++ b/crates/gullspar_direct/src/news_source.rs
@@ -8,9 +8,8 @@
 
 /// The choice among the instances that are ahead.
 ///
-/// Near ones go first: chosen from all, 23 of 24 would be in another data centre at the planned size; among 73
-/// instances in five it saves a hundredth of the bytes between data centres. Each instance begins with another one, so
-/// that not all ask the same. One that did not answer is followed by the next, near or not: an instance whose
+/// Near ones go first: chosen from all, nearly all would be in another data centre. Each instance begins with another
+/// one, so that not all ask the same. One that did not answer is followed by the next, near or not: an instance whose
 /// heartbeats arrive may still be out of reach, and asked again and again it would keep the news from this one for as
 /// long as the cut lasts.
 pub(crate) struct NewsSource {
--- a/crates/gullspar_direct/src/pacing.rs
+++ b/crates/gullspar_direct/src/pacing.rs
@@ -3,7 +3,7 @@
 //! With more instances than slots, the fair part of each is less than one statement at a time. Each runs one all
 //! the same, so that an instance with few callers need not wait; but when all have many, nine statements stand
 //! before three slots, in the target's own queue, which knows no priority and no deadline. There each statement of a
-//! transaction waits two rounds, 54 ms in place of 18.
+//! transaction waits two rounds.
 //!
 //! So while a target is crowded, which its answers show, a place rests after each statement for as long as the part
 //! asks; requests then wait in the instance, where the urgent go first.
--- a/crates/gullspar_direct/src/placing.rs
+++ b/crates/gullspar_direct/src/placing.rs
@@ -21,7 +21,7 @@
 /// round trip in vain.
 const UNCERTAIN_COST: Duration = Duration::from_millis(3);
 
-/// Time that a statement is expected to take where no target has answered one yet; they take 4 to 80 ms.
+/// Time that a statement is expected to take where no target has answered one yet.
 const UNKNOWN_MEAN: Duration = Duration::from_millis(20);
 
 /// Where a read may go and what it needs there.
--- a/crates/gullspar_direct/src/store_contact.rs
+++ b/crates/gullspar_direct/src/store_contact.rs
@@ -20,9 +20,8 @@
 
 /// Time that each instance of a fleet adds to the pause between two tries of those that leave the store to others.
 ///
-/// Together they make some 20 tries a second while the store is silent, however many they are. If all tried their two
-/// watches once in 1.3 s, 73 instances would make 112, and 2,200 more than the 2,000 calls a second that the store
-/// takes. On a day of 60 s with 22 s of silence 73 instances make 2,400 calls in all; before the spacing it was 3,173.
+/// Together they so make as many tries a second while the store is silent, however many they are. If all tried as often
+/// as the followers, a large fleet would make more calls than the store takes.
 const LAST_RESORT_SPACING: Duration = Duration::from_millis(100);
 
 impl Proxy {
--- a/crates/gullspar_direct/src/target.rs
+++ b/crates/gullspar_direct/src/target.rs
@@ -29,7 +29,7 @@
 /// From here on a target is passed over: two failures in a row.
 const PASSED_OVER_FROM: u32 = 2 * FAILURE_WEIGHT;
 
-/// The most that counts: four doublings of [`AVOID_FOR`], 4.8 s, in which one read in thousands still meets it.
+/// The most that counts: four doublings of [`AVOID_FOR`], so that a target that is well again is found in seconds.
 const MOST_FAILURES: u32 = PASSED_OVER_FROM + 4 * FAILURE_WEIGHT;
 
 /// How long a replica that was behind a point is not asked for that point again.
@@ -38,8 +38,8 @@
 /// Weight of the newest sample in the running mean, as one part in this many.
 const MEAN_WEIGHT: u64 = 8;
 
-/// Time in which half of what was learnt beyond that is forgotten: a replica that was taken to need 800 ms is
-/// asked again after two seconds, while replicas lag for five to ten.
+/// Time in which half of what was learnt beyond that is forgotten: a replica that was taken to be very
+/// slow is asked again within a few seconds.
 const SLOWNESS_HALVES_EVERY: Duration = Duration::from_millis(500);
 
 /// Halvings after which nothing is left.
@@ -190,7 +190,7 @@
     /// It ran a statement, and the statement failed or did not.
     ///
     /// A target may fail what it is asked, or half of it, and answer each check. Asked for every other read all the
-    /// same, one such replica of a large fleet failed 587 statements in seven seconds. One failure may be the
+    /// same, one such replica would fail hundreds of statements. One failure may be the
     /// statement's own fault; where they prevail the target is passed over, twice as long each time, and the reads
     /// that try it again show when it is well.
     pub(crate) fn ran(&self, failed: bool, now: Instant) {
@@ -263,8 +263,7 @@
     /// What a statement takes here, where others of the group need `usual`.
     ///
     /// What was learnt beyond that is forgotten by and by: a target that nobody asks any more has no way
-    /// to show that it is fast again. Two replicas that had lagged for ten seconds were asked for 8 reads
-    /// a second instead of 110 for the rest of the day, and their leader refused a tenth of its callers.
+    /// to show that it is fast again. Its group's leader would refuse callers that it could serve.
     fn mean_against(&self, usual: Duration) -> Duration {
         // One that has just started is taken to be like the others; it gets work and shows what it takes.
         let mean = self.mean().unwrap_or(usual);
--- a/crates/gullspar_direct/src/views.rs
+++ b/crates/gullspar_direct/src/views.rs
@@ -19,8 +19,8 @@
 
 /// A view older than this no longer shows that nobody has decided on another leader.
 ///
-/// One heartbeat may get lost. Behind a cut the others need 70 to 300 ms to see that the leader is out of their reach,
-/// and have ordered its successor 400 ms after the cut.
+/// One heartbeat may get lost. Behind a cut the others order a successor some time after they see that the leader is out
+/// of their reach, which takes them longer than this.
 const VOUCH_HOLDS_FOR: Duration = Duration::from_millis(350);
 
 struct Heard {
--- a/crates/gullspar_membership/src/links.rs
+++ b/crates/gullspar_membership/src/links.rs
@@ -19,8 +19,8 @@
 impl Links {
     /// Makes the right ones of `others` contacts.
     ///
-    /// Contacts of a class stay while most of that class are silent, here and by what other contacts tell: their silence is what tells this instance that it is cut off,
-    /// and they are the first to hear it when it no longer is.
+    /// Contacts of a class stay while most of that class are silent, here and by what other contacts tell: their silence
+    /// is what tells this instance that it is cut off, and they are the first to answer when it no longer is.
     pub(crate) fn choose(&mut self, own: &Member, others: &[&Member], now: BootInstant) {
         let wanted = rings::contacts(own, others);
         let counts = self.counts_with_told(now);
