--- /dev/null
+++ b/crates/gullspar_customer/src/purse.rs
@@ -0,0 +1,145 @@
+//! The tokens of one customer that this instance may spend.
+
+use std::time::Duration;
+
+use gullspar_border::BootInstant;
+
+use crate::TokenGrant;
+
+/// How long lent tokens may be spent; afterwards they are worth nothing, and are not missed at their keeper.
+const SPEND_WITHIN: Duration = Duration::from_millis(250);
+
+/// Time over which the rate of operations is averaged.
+const RATE_OVER: Duration = Duration::from_secs(2);
+
+/// How long operations go on at the usual rate while nobody lends.
+const COAST_FOR: Duration = Duration::from_secs(1);
+
+/// Time in which what was spent while nobody lent may be spent again.
+const COAST_AGAIN_AFTER: Duration = Duration::from_secs(10);
+
+/// The longest time for which an empty ledger is not asked again.
+const MOST_PAUSE: Duration = Duration::from_millis(500);
+
+/// What becomes of an operation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Spending {
+    /// It may run.
+    Granted,
+    /// The customer is at its limit; the time after which to come back.
+    Exhausted { retry_after: Duration },
+    /// The keeper has to be asked.
+    Unfunded,
+}
+
+/// Tokens that were lent to this instance, and how it goes on while nobody lends.
+///
+/// Waiting for the keeper at each operation would cost a round trip; so tokens are lent for the operations of the next
+/// moment as well. What is not spent soon is lost, so that tokens lent before a cut are not spent long after it.
+#[derive(Clone, Debug)]
+pub struct Purse {
+    tokens: u32,
+    expires_at: BootInstant,
+    exhausted_until: Option<BootInstant>,
+    /// Operations a second of late, and when that was worked out.
+    rate: f64,
+    rated_at: BootInstant,
+    /// The part left of the operations that may run while nobody lends.
+    coast_left: f64,
+    coasted_at: BootInstant,
+}
+
+impl Purse {
+    /// A purse that nothing was lent to.
+    pub fn new(now: BootInstant) -> Purse {
+        Purse {
+            tokens: 0,
+            expires_at: now,
+            exhausted_until: None,
+            rate: 0.0,
+            rated_at: now,
+            coast_left: 1.0,
+            coasted_at: now,
+        }
+    }
+
+    /// Spends a token for one operation, if there is one.
+    pub fn spend(&mut self, now: BootInstant) -> Spending {
+        if now >= self.expires_at {
+            self.tokens = 0;
+        }
+        if self.tokens > 0 {
+            self.tokens -= 1;
+            self.note_operation(now);
+            return Spending::Granted;
+        }
+        match self.exhausted_until {
+            Some(until) if now < until => Spending::Exhausted { retry_after: until.since(now) },
+            _ => Spending::Unfunded,
+        }
+    }
+
+    /// Spends a token for an operation that could not wait to be granted, such as the second try of a read.
+    pub fn spend_unasked(&mut self) {
+        self.tokens = self.tokens.saturating_sub(1);
+    }
+
+    /// Takes what the keeper lent.
+    pub fn take(&mut self, grant: &TokenGrant, now: BootInstant) {
+        if now >= self.expires_at {
+            self.tokens = 0;
+        }
+        self.tokens += grant.tokens;
+        self.expires_at = now.plus(SPEND_WITHIN);
+        self.exhausted_until = (grant.tokens == 0 && !grant.is_settling).then(|| {
+            let pause = Duration::from_millis(u64::from(grant.next_token_ms));
+            now.plus(pause.min(MOST_PAUSE))
+        });
+    }
+
+    /// Lets an operation run although nobody lends, as far as such operations go.
+    ///
+    /// The keeper may be gone or cut off. Its successor lends nothing for a second, in which instances go on at the rate
+    /// that they had; together that is no more than the customer was lent before.
+    pub fn coast(&mut self, now: BootInstant) -> bool {
+        let allowed = (self.rate * COAST_FOR.as_secs_f64()).max(1.0);
+        let passed = now.since(self.coasted_at).as_secs_f64();
+        let regained = passed / COAST_AGAIN_AFTER.as_secs_f64();
+        self.coast_left = (self.coast_left + regained).min(1.0);
+        self.coasted_at = now;
+        let one = 1.0 / allowed;
+        if self.coast_left < one {
+            return false;
+        }
+        self.coast_left -= one;
+        true
+    }
+
+    /// Tokens to ask for: those for the operations that wait, and for those expected until tokens expire.
+    pub fn wanted(&self, waiting: u32, now: BootInstant) -> u32 {
+        let expected = self.rate_at(now) * SPEND_WITHIN.as_secs_f64();
+        waiting + expected as u32
+    }
+
+    /// Whether to ask for more before operations have to wait.
+    pub fn runs_low(&self, now: BootInstant) -> bool {
+        let usual = self.rate_at(now) * SPEND_WITHIN.as_secs_f64();
+        usual >= 2.0 && f64::from(self.tokens) * 2.0 < usual
+    }
+
+    fn rate_at(&self, now: BootInstant) -> f64 {
+        let passed = now.since(self.rated_at).as_secs_f64();
+        self.rate * (-passed / RATE_OVER.as_secs_f64()).exp()
+    }
+
+    fn note_operation(&mut self, now: BootInstant) {
+        self.rate = self.rate_at(now) + 1.0 / RATE_OVER.as_secs_f64();
+        self.rated_at = now;
+    }
+
+    /// Whether nothing was spent for so long that nothing is left to know.
+    pub fn is_idle(&self, now: BootInstant) -> bool {
+        now.since(self.rated_at) > COAST_AGAIN_AFTER
+            && now.since(self.coasted_at) > COAST_AGAIN_AFTER
+    }
+}
--- a/crates/gullspar_direct/src/attempt.rs
+++ b/crates/gullspar_direct/src/attempt.rs
@@ -49,7 +49,10 @@
 impl Surroundings {
     /// Takes a connection for `req`.
     pub(crate) async fn lease(&self, req: &Request, deadline: Instant) -> Result<Lease, NotRun> {
-        let taken = self.target.pool.take(&self.target.spec(), &req.values, deadline).await;
+        let taken = {
+            let spec = self.target.spec();
+            self.target.pool.take(&spec, &req.customer, &req.values, deadline).await
+        };
         if taken.is_err() {
             self.target.avoid(self.borders.clock.now());
         }
--- a/crates/gullspar_direct/src/borders.rs
+++ b/crates/gullspar_direct/src/borders.rs
@@ -9,13 +9,13 @@
 use gullspar_statement::TargetDialer;
 
 use crate::{
-    Claims, HandedOn, Heartbeat, HomeLink, Promoter, Registry, Snapshot, SnapshotRequest, Stats,
+    Claims, HandedOn, HomeLink, PeerMessage, Promoter, Registry, Snapshot, SnapshotRequest, Stats,
 };
 
 /// The ways to other instances.
 pub trait PeerChannel {
-    /// Sends a heartbeat that may get lost.
-    fn send(&self, to: SocketAddr, heartbeat: &Heartbeat);
+    /// Sends a message that may get lost.
+    fn send(&self, to: SocketAddr, message: &PeerMessage);
 
     /// Asks an instance for what it goes by.
     fn fetch(
--- a/crates/gullspar_direct/src/caller_session.rs
+++ b/crates/gullspar_direct/src/caller_session.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use futures::future::{self, Either};
-use gullspar_model::{Access, LogPoint, NotRun, RequestId, ServiceName};
+use gullspar_model::{Access, CustomerName, LogPoint, NotRun, RequestId, ServiceName};
 use gullspar_statement::{
     Action, Answer, CallerLink, CallerLinkError, CallerMessage, Definition, Failure, FailureCode,
     Statement, TransactionStatus,
@@ -12,6 +12,7 @@
 
 use crate::confirmation::{Commit, Standing};
 use crate::group::Group;
+use crate::opening::Opening;
 use crate::request::{Body, Request};
 use crate::trace::{self, Trace};
 use crate::transaction::Transaction;
@@ -27,7 +28,9 @@
 pub(crate) struct Session {
     proxy: Rc<Proxy>,
     link: Box<dyn CallerLink>,
-    service: ServiceName,
+    opening: Opening,
+    /// Whose session it is, as of the statement before.
+    customer: Option<CustomerName>,
     values: SessionValues,
     own_commit: Option<LogPoint>,
     transaction: Option<Transaction>,
@@ -60,13 +63,15 @@
     pub(crate) async fn serve_to_end(
         proxy: &Rc<Proxy>,
         mut link: Box<dyn CallerLink>,
-        service: ServiceName,
+        opening: Opening,
+        customer: Option<CustomerName>,
     ) -> Result<(), CallerLinkError> {
         link.reply(&Answer::done_locally(TransactionStatus::Idle)).await?;
         let mut session = Session {
             proxy: Rc::clone(proxy),
             link,
-            service,
+            opening,
+            customer,
             values: SessionValues::default(),
             own_commit: None,
             transaction: None,
@@ -88,6 +93,11 @@
         loop {
             match self.next_event().await? {
                 Event::Message(CallerMessage::Statement(statement)) => {
+                    if let Err(failure) = self.identify() {
+                        self.abandon();
+                        let answer = Answer::failed(failure, TransactionStatus::Idle);
+                        return self.link.reply(&answer).await;
+                    }
                     let answer = self.answer(statement).await;
                     self.link.reply(&answer).await?;
                 }
@@ -147,7 +157,7 @@
 
     /// Whether another instance should serve this session by now.
     fn is_misplaced(&self) -> bool {
-        let route = self.proxy.directory.route(&self.service);
+        let route = self.proxy.directory.route(&self.opening.service);
         route.is_some_and(|it| {
             self.proxy.gives_up(&it.group) || self.proxy.ways_around(&it.group).is_some()
         })
@@ -166,7 +176,7 @@
     fn give_up_idle(&mut self) {
         self.idle_deadline = None;
         if let Some(transaction) = &mut self.transaction {
-            log::info!(service = self.service.as_str(); "G0732 an idle transaction is rolled back");
+            log::info!(service = self.opening.service.as_str(); "G0732 an idle transaction is rolled back");
             transaction.roll_back();
         }
     }
@@ -186,6 +196,19 @@
         }
     }
 
+    /// Looks anew whose session it is; an error if its key is no longer valid.
+    fn identify(&mut self) -> Result<(), Failure> {
+        // A service that is gone is the statement's to report.
+        let Some(route) = self.proxy.directory.route(&self.opening.service) else { return Ok(()) };
+        let customer = self.proxy.identify(&route, &self.opening)?;
+        if self.customer != customer && self.transaction.is_some() {
+            // What was begun for one customer can't be ended for another.
+            return Err(refusal::unknown_key());
+        }
+        self.customer = customer;
+        Ok(())
+    }
+
     async fn answer(&mut self, statement: Statement) -> Answer {
         let started = self.proxy.borders.clock.now();
         self.idle_deadline = None;
@@ -205,11 +228,11 @@
         }
         match &answer.result {
             Ok(Some(_)) => {
-                log::info!(request = id.as_str(), service = self.service.as_str(), action = action, took_ms = took.as_millis() as u64, member = self.trace.member(), part = self.trace.part(), tries = self.trace.tries, at_least = self.trace.at_least().as_str(), reading_age_ms = self.trace.reading_age().as_str(), point = trace::point(answer.point).as_str(); "G0733 a statement was served");
+                log::info!(request = id.as_str(), service = self.opening.service.as_str(), action = action, took_ms = took.as_millis() as u64, member = self.trace.member(), part = self.trace.part(), tries = self.trace.tries, at_least = self.trace.at_least().as_str(), reading_age_ms = self.trace.reading_age().as_str(), point = trace::point(answer.point).as_str(); "G0733 a statement was served");
             }
             Ok(None) => {}
             Err(failure) => {
-                log::info!(request = id.as_str(), service = self.service.as_str(), action = action, took_ms = took.as_millis() as u64, code:? = failure.code, reason = failure.text.as_str(), member = self.trace.member(), part = self.trace.part(), tries = self.trace.tries, at_least = self.trace.at_least().as_str(), reading_age_ms = self.trace.reading_age().as_str(), version = self.proxy.directory.version(); "G0734 a statement failed");
+                log::info!(request = id.as_str(), service = self.opening.service.as_str(), action = action, took_ms = took.as_millis() as u64, code:? = failure.code, reason = failure.text.as_str(), member = self.trace.member(), part = self.trace.part(), tries = self.trace.tries, at_least = self.trace.at_least().as_str(), reading_age_ms = self.trace.reading_age().as_str(), version = self.proxy.directory.version(); "G0734 a statement failed");
             }
         }
         answer
@@ -259,8 +282,8 @@
         if self.transaction.is_some() {
             return self.malformed(id, "a transaction is open already");
         }
-        let Some(route) = self.proxy.directory.route(&self.service) else {
-            return Answer::failed(no_such_service(&self.service), TransactionStatus::Idle);
+        let Some(route) = self.proxy.directory.route(&self.opening.service) else {
+            return Answer::failed(no_such_service(&self.opening.service), TransactionStatus::Idle);
         };
         let Some(group) = self.proxy.group(&route.group) else {
             return Answer::failed(refusal::not_run(NotRun::Unreachable), TransactionStatus::Idle);
@@ -279,6 +302,12 @@
     }
 
     async fn commit(&mut self, statement: &Statement) -> Answer {
+        if self.transaction.is_some()
+            && let Err(reason) = self.charge().await
+        {
+            self.abandon();
+            return Answer::failed(refusal::not_run(reason), TransactionStatus::Idle);
+        }
         let Some(transaction) = self.transaction.take() else {
             return self.malformed(&statement.id, "no transaction is open");
         };
@@ -318,6 +347,31 @@
         }
     }
 
+    /// Counts an operation against its customer's limit before anything of it runs: a single statement, or a transaction
+    /// at its first one.
+    async fn charge(&mut self) -> Result<(), NotRun> {
+        let Some(customer) = self.customer.clone() else { return Ok(()) };
+        if self.transaction.as_ref().is_some_and(|it| it.charged) {
+            return Ok(());
+        }
+        let Some(route) = self.proxy.directory.route(&self.opening.service) else { return Ok(()) };
+        let deadline = self.proxy.borders.clock.now() + Duration::from_millis(route.statement_ms);
+        let charged = self.proxy.spend(&customer, deadline).await;
+        charged?;
+        if let Some(transaction) = &mut self.transaction {
+            transaction.charged = true;
+        }
+        Ok(())
+    }
+
+    fn over_limit(&mut self, reason: NotRun) -> Answer {
+        let failure = refusal::not_run(reason);
+        match &mut self.transaction {
+            Some(transaction) => transaction.fail(failure),
+            None => Answer::failed(failure, TransactionStatus::Idle),
+        }
+    }
+
     /// Runs a read or a write.
     async fn run(
         &mut self,
@@ -326,6 +380,9 @@
         prepared: Option<(Definition, arcstr::ArcStr)>,
     ) -> Answer {
         self.ran = Some(access);
+        if let Err(reason) = self.charge().await {
+            return self.over_limit(reason);
+        }
         if let (Some(_), Some(route)) = (&self.transaction, self.route.clone()) {
             let req = self.request(statement, access, prepared, &route);
             let proxy = Rc::clone(&self.proxy);
@@ -338,8 +395,8 @@
                 None => self.malformed(&statement.id, "no transaction is open"),
             };
         }
-        let Some(route) = self.proxy.directory.route(&self.service) else {
-            return Answer::failed(no_such_service(&self.service), TransactionStatus::Idle);
+        let Some(route) = self.proxy.directory.route(&self.opening.service) else {
+            return Answer::failed(no_such_service(&self.opening.service), TransactionStatus::Idle);
         };
         let Some(group) = self.proxy.group(&route.group) else {
             return Answer::failed(refusal::not_run(NotRun::Unreachable), TransactionStatus::Idle);
@@ -376,6 +433,7 @@
             body,
             access,
             commits: statement.action == Action::Commit,
+            customer: self.customer.clone(),
             values: Rc::new(self.values.values.clone()),
             freshness: route.freshness,
             own_commit: self.own_commit,
--- a/crates/gullspar_direct/src/catalogue.rs
+++ b/crates/gullspar_direct/src/catalogue.rs
@@ -2,7 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use gullspar_model::{GroupName, ServiceName, record};
+use gullspar_customer::{Customers, KeyFingerprint, RateLimit};
+use gullspar_model::{CustomerName, GroupName, ServiceName, record};
 use gullspar_statement::TargetSpec;
 
 use crate::Freshness;
@@ -18,6 +19,8 @@
         pub objective_ms: u64,
         /// 0 goes first.
         pub priority: u8,
+        /// Whether callers must hold the key of a customer.
+        pub needs_key: bool,
     }
 }
 
@@ -38,9 +41,37 @@
         pub groups: BTreeMap<GroupName, GroupLimits>,
         /// Milliseconds after which a transaction that stands still is rolled back.
         pub transaction_idle_ms: u64,
+        /// `None` where callers have no keys at all.
+        pub customers: Option<Customers>,
     }
 }
 
+impl Catalogue {
+    /// The customer that a session with `key` on `route` belongs to, if any.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the route needs a key and `key` is not that of a customer.
+    pub(crate) fn identify(
+        &self,
+        route: &Route,
+        key: Option<&KeyFingerprint>,
+    ) -> Result<Option<CustomerName>, UnknownKey> {
+        let Some(customers) = &self.customers else { return Ok(None) };
+        let holder = key.and_then(|it| customers.holder(it)).cloned();
+        if holder.is_none() && route.needs_key { Err(UnknownKey) } else { Ok(holder) }
+    }
+
+    /// How many operations of `customer` may run; `None` for any number.
+    pub(crate) fn limit(&self, customer: &CustomerName) -> Option<RateLimit> {
+        self.customers.as_ref()?.limit(customer)
+    }
+}
+
+/// No customer holds the key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct UnknownKey;
+
 record! {
     /// The targets that the platform lists.
     pub struct TargetList {
--- a/crates/gullspar_direct/src/failover.rs
+++ b/crates/gullspar_direct/src/failover.rs
@@ -120,7 +120,9 @@
         let mut alive = self.peers.views.looking_at(&self.group.name, now);
         alive.push(self.own.clone());
         let last = self.group.claims().holder().cloned();
-        alive.sort_by_key(|it| (Some(it) != last.as_ref(), homes::weight(&self.group.name, it)));
+        alive.sort_by_key(|it| {
+            (Some(it) != last.as_ref(), homes::weight(self.group.name.as_str(), it))
+        });
         alive.iter().position(|it| *it == self.own).unwrap_or(0) as u32
     }
 
--- a/crates/gullspar_direct/src/handed_on.rs
+++ b/crates/gullspar_direct/src/handed_on.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use gullspar_border::within;
-use gullspar_model::{GroupName, ServiceName, record};
+use gullspar_model::{GroupName, record};
 
 use crate::Proxy;
+use crate::opening::Opening;
 
 /// How long a home that is behind waits for the configuration of whoever handed a session on: a heartbeat and a fetch
 /// take 250 ms. The other one waits 400 ms before it tries the next home.
@@ -21,22 +22,29 @@
 }
 
 impl Proxy {
-    /// Whether this instance goes by as new a configuration as `sender` does for `service`; waits a little for it.
+    fn agrees(&self, opening: &Opening, sender: &HandedOn) -> bool {
+        let Some(catalogue) = self.directory.catalogue() else { return false };
+        let route = catalogue.routes.get(&opening.service);
+        let admits = route.is_some_and(|it| {
+            it.group == sender.group && catalogue.identify(it, opening.key.as_ref()).is_ok()
+        });
+        admits || catalogue.version >= sender.catalogue_version
+    }
+
+    /// Whether this instance goes by as new a configuration as `sender` does for a session; waits a little for it.
     ///
     /// A home that is back from a suspension or a cut goes by an old one for a moment. Its word is passed on by an
     /// instance that knows better: seen as a caller that was refused a service 6 s after it was added.
-    pub(crate) async fn catches_up(&self, service: &ServiceName, sender: &HandedOn) -> bool {
+    pub(crate) async fn catches_up(&self, opening: &Opening, sender: &HandedOn) -> bool {
         let clock = &self.borders.clock;
         let deadline = clock.now() + CATCH_UP_WITHIN;
         loop {
             let changed = self.directory.listen();
-            let route = self.directory.route(service);
-            let agrees = route.is_some_and(|it| it.group == sender.group);
-            if agrees || self.directory.version() >= sender.catalogue_version {
+            if self.agrees(opening, sender) {
                 return true;
             }
             if within(&**clock, deadline, changed).await.is_err() {
-                log::info!(service = service.as_str(), version = self.directory.version(), wanted = sender.catalogue_version; "G0762 a session is not taken: its sender has a newer configuration");
+                log::info!(service = opening.service.as_str(), version = self.directory.version(), wanted = sender.catalogue_version; "G0762 a session is not taken: its sender has a newer configuration");
                 return false;
             }
         }
--- a/crates/gullspar_direct/src/heartbeats.rs
+++ b/crates/gullspar_direct/src/heartbeats.rs
@@ -11,7 +11,7 @@
 
 use crate::news_source::NewsSource;
 use crate::proxy::SETTLE;
-use crate::{GroupView, Heartbeat, Phase, Proxy, Snapshot, SnapshotRequest};
+use crate::{GroupView, Heartbeat, PeerMessage, Phase, Proxy, Snapshot, SnapshotRequest};
 
 /// How long handing over a snapshot may take.
 const FETCH_WITHIN: Duration = Duration::from_millis(800);
@@ -40,6 +40,7 @@
     fn send_round(&self) {
         let now = self.borders.clock.boot_now();
         self.peers.set_leaving(self.shutdown.phase() != Phase::Serving);
+        self.look_after_ledgers(now);
         self.peers.keep_close(self.looking_at_same_groups(now), now);
         let mut to: BTreeSet<SocketAddr> =
             self.peers.begin_round(self.borders.entropy.next_u64(), now).into_iter().collect();
@@ -47,7 +48,7 @@
         let views = self.views(now);
         for address in to {
             let heartbeat = self.heartbeat(address, self.peers.gossip(address, now), &views, now);
-            self.borders.peers.send(address, &heartbeat);
+            self.borders.peers.send(address, &PeerMessage::Heartbeat(heartbeat));
         }
     }
 
@@ -84,6 +85,16 @@
         }
     }
 
+    /// Takes a message of another instance.
+    pub fn take_message(&self, message: PeerMessage) {
+        match message {
+            PeerMessage::Heartbeat(heartbeat) => self.take_heartbeat(heartbeat),
+            PeerMessage::TokenRequest(req) => self.lend(&req),
+            PeerMessage::TokenGrant(grant) => self.take_grant(&grant),
+            PeerMessage::LedgerHandover(handover) => self.take_ledger(&handover),
+        }
+    }
+
     /// Takes a heartbeat of another instance.
     pub fn take_heartbeat(&self, heartbeat: Heartbeat) {
         if *heartbeat.from() == self.own.id {
@@ -99,7 +110,7 @@
         if self.peers.take(heartbeat, now).wants_answer {
             let answer = self.peers.answer(&gossip, now);
             let heartbeat = self.heartbeat(address, answer, &self.views(now), now);
-            self.borders.peers.send(address, &heartbeat);
+            self.borders.peers.send(address, &PeerMessage::Heartbeat(heartbeat));
         }
     }
 
--- a/crates/gullspar_direct/src/home_groups.rs
+++ b/crates/gullspar_direct/src/home_groups.rs
@@ -15,7 +15,7 @@
 use crate::stats::Levels;
 use crate::target::Target;
 use crate::target_watch;
-use crate::{CutOff, Member, Proxy, pacing};
+use crate::{CutOff, Member, Phase, Proxy, pacing};
 
 /// How long a group is served for a session that was handed on to an instance that is not its home.
 const HOLD_FOR: Duration = Duration::from_secs(10);
@@ -55,6 +55,10 @@
             }
         }
         self.give_up_groups(now);
+        for group in self.groups() {
+            let stays = self.shutdown.phase() == Phase::Serving && group.given_up_at().is_none();
+            group.targets().iter().for_each(|it| it.pool.set_stays(stays));
+        }
         if let Some(catalogue) = self.directory.catalogue() {
             let mut plans = self.home_plans.borrow_mut();
             plans.retain(|group, _| catalogue.groups.contains_key(group));
--- a/crates/gullspar_direct/src/homes.rs
+++ b/crates/gullspar_direct/src/homes.rs
@@ -105,12 +105,13 @@
 /// A home serves the sessions of a whole data centre for its group. Where machines differ, it should be one
 /// of the strong, but not of all groups the same one.
 fn distance(group: &GroupName, member: &Member) -> u64 {
-    let uniform = (weight(group, &member.id) as f64 + 1.0) / (u64::MAX as f64 + 1.0);
+    let uniform = (weight(group.as_str(), &member.id) as f64 + 1.0) / (u64::MAX as f64 + 1.0);
     let strength = f64::from(member.strength.max(1));
     // Positive numbers compare like their bits.
     (-uniform.ln() / (strength * strength)).to_bits()
 }
 
-pub(crate) fn weight(group: &GroupName, id: &InstanceId) -> u64 {
-    xxhash_rust::xxh3::xxh3_64(format!("{group}/{id}").as_bytes())
+/// The weight that rendezvous hashing gives the instance `id` for what is called `name`.
+pub(crate) fn weight(name: &str, id: &InstanceId) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(format!("{name}/{id}").as_bytes())
 }
--- /dev/null
+++ b/crates/gullspar_direct/src/limits.rs
@@ -0,0 +1,283 @@
+//! Keeping customers to their limits over all instances together.
+//!
+//! One instance keeps a customer's ledger, chosen by rendezvous hashing, and lends tokens to those that serve the
+//! customer's sessions. What happens while it is out of reach stands in `docs/design/customers.md`.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use event_listener::Event;
+use gullspar_border::{BootInstant, within};
+use gullspar_customer::{Ledger, LedgerHandover, Purse, Spending, TokenGrant, TokenRequest};
+use gullspar_model::{CustomerName, NotRun};
+
+use crate::peer_table::Epoch;
+use crate::{PeerMessage, Phase, Proxy, homes};
+
+/// How long the keeper of a ledger may take to answer before it is asked again.
+const ASK_WITHIN: Duration = Duration::from_millis(60);
+
+/// Questions without an answer after which operations go on without the keeper.
+const TRIES: u32 = 2;
+
+/// One customer as this instance serves it.
+struct Account {
+    purse: RefCell<Purse>,
+    /// Operations that wait for tokens.
+    waiting: Cell<u32>,
+    asked_at: Cell<Option<BootInstant>>,
+    /// The last grant was that of a keeper that lends nothing yet.
+    is_settling: Cell<bool>,
+    keeper: RefCell<Option<(Epoch, SocketAddr)>>,
+    answered: Event,
+}
+
+/// What decides who keeps which ledger.
+#[derive(Clone, Copy, PartialEq, Eq)]
+struct Keepers {
+    members: Epoch,
+    /// This instance takes part no more.
+    leaves: bool,
+}
+
+/// The limits that this instance keeps, and those that it is kept to.
+#[derive(Default)]
+pub(crate) struct Limits {
+    ledger: RefCell<Ledger>,
+    accounts: RefCell<BTreeMap<CustomerName, Rc<Account>>>,
+    /// Among whom the ledgers are kept, and since when.
+    kept_by: Cell<Option<(Keepers, BootInstant)>>,
+    /// The part of the fleet that this instance lends for, in percent.
+    part_percent: Cell<u32>,
+}
+
+impl Proxy {
+    /// Spends one token of `customer` for an operation that is about to run.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the customer is at its limit; the operation must not run.
+    pub(crate) async fn spend(
+        &self,
+        customer: &CustomerName,
+        deadline: Instant,
+    ) -> Result<(), NotRun> {
+        let limit = self.directory.catalogue().and_then(|it| it.limit(customer));
+        if limit.is_none() {
+            return Ok(());
+        }
+        let account = self.account(customer);
+        let mut tries = 0;
+        loop {
+            let now = self.borders.clock.boot_now();
+            let spending = account.purse.borrow_mut().spend(now);
+            match spending {
+                Spending::Granted => {
+                    if account.purse.borrow().runs_low(now) {
+                        self.ask(customer, &account, now);
+                    }
+                    return Ok(());
+                }
+                Spending::Exhausted { retry_after } => {
+                    return Err(self.limited(customer, retry_after));
+                }
+                Spending::Unfunded => {}
+            }
+            if account.is_settling.get() || tries == TRIES {
+                return self.coast(customer, &account, now);
+            }
+            let answered = account.answered.listen();
+            account.waiting.set(account.waiting.get() + 1);
+            self.ask(customer, &account, now);
+            let until = (self.borders.clock.now() + ASK_WITHIN).min(deadline);
+            // Its own ledger has answered by now.
+            if account.asked_at.get().is_some()
+                && within(&*self.borders.clock, until, answered).await.is_err()
+            {
+                tries += 1;
+                account.asked_at.set(None);
+            }
+            account.waiting.set(account.waiting.get() - 1);
+        }
+    }
+
+    /// A second try of an operation counts as well; it does not wait.
+    pub(crate) fn spend_again(&self, customer: Option<&CustomerName>) {
+        if let Some(account) =
+            customer.and_then(|it| self.limits.accounts.borrow().get(it).cloned())
+        {
+            account.purse.borrow_mut().spend_unasked();
+        }
+    }
+
+    fn coast(
+        &self,
+        customer: &CustomerName,
+        account: &Account,
+        now: BootInstant,
+    ) -> Result<(), NotRun> {
+        account.is_settling.set(false);
+        if account.purse.borrow_mut().coast(now) {
+            self.borders.stats.coasted();
+            return Ok(());
+        }
+        Err(self.limited(customer, ASK_WITHIN))
+    }
+
+    fn limited(&self, customer: &CustomerName, retry_after: Duration) -> NotRun {
+        let retry_after_ms = retry_after.as_millis() as u64;
+        log::info!(customer = customer.as_str(), retry_after_ms = retry_after_ms; "G0767 an operation is refused: its customer is at its limit");
+        self.borders.stats.limited();
+        NotRun::OverLimit { retry_after_ms }
+    }
+
+    fn account(&self, customer: &CustomerName) -> Rc<Account> {
+        let mut accounts = self.limits.accounts.borrow_mut();
+        if let Some(account) = accounts.get(customer) {
+            return Rc::clone(account);
+        }
+        let account = Rc::new(Account {
+            purse: RefCell::new(Purse::new(self.borders.clock.boot_now())),
+            waiting: Cell::new(0),
+            asked_at: Cell::new(None),
+            is_settling: Cell::new(false),
+            keeper: RefCell::new(None),
+            answered: Event::new(),
+        });
+        accounts.insert(customer.clone(), Rc::clone(&account));
+        account
+    }
+
+    /// Asks the keeper for tokens unless an answer is on its way.
+    fn ask(&self, customer: &CustomerName, account: &Account, now: BootInstant) {
+        let asked_at = account.asked_at.get();
+        if asked_at.is_some_and(|at| now.since(at) < ASK_WITHIN) {
+            return;
+        }
+        account.asked_at.set(Some(now));
+        let wanted = account.purse.borrow().wanted(account.waiting.get().max(1), now);
+        let req = TokenRequest {
+            customer: customer.clone(),
+            wanted,
+            reply_to: self.own.address,
+            is_passed_on: false,
+        };
+        let keeper = self.keeper_as_known(customer, account, now);
+        if keeper == self.own.address {
+            let grant = self.grant(&req, now);
+            self.take_grant(&grant);
+        } else {
+            self.borders.peers.send(keeper, &PeerMessage::TokenRequest(req));
+        }
+    }
+
+    fn keeper_as_known(
+        &self,
+        customer: &CustomerName,
+        account: &Account,
+        now: BootInstant,
+    ) -> SocketAddr {
+        let epoch = self.peers.epoch(now);
+        let mut known = account.keeper.borrow_mut();
+        match *known {
+            Some((at, keeper)) if at == epoch => keeper,
+            _ => {
+                let keeper = self.keeper(customer);
+                *known = Some((epoch, keeper));
+                keeper
+            }
+        }
+    }
+
+    /// The instance that keeps the ledger of `customer`, as far as this one knows.
+    fn keeper(&self, customer: &CustomerName) -> SocketAddr {
+        let members = self.members();
+        // Others no longer count one that leaves.
+        let leaves = self.leaves();
+        let nearest = members
+            .iter()
+            .filter(|it| !leaves || it.id != self.own.id)
+            .max_by_key(|it| homes::weight(customer.as_str(), &it.id));
+        nearest.map_or(self.own.address, |it| it.address)
+    }
+
+    fn leaves(&self) -> bool {
+        self.shutdown.phase() != Phase::Serving
+    }
+
+    /// Lends to the instance that asks, or passes the question on to the keeper.
+    pub(crate) fn lend(&self, req: &TokenRequest) {
+        let keeper = self.keeper(&req.customer);
+        if keeper == self.own.address {
+            let grant = self.grant(req, self.borders.clock.boot_now());
+            self.borders.peers.send(req.reply_to, &PeerMessage::TokenGrant(grant));
+        } else if !req.is_passed_on {
+            // Instances learn of each other at different moments.
+            let passed_on = TokenRequest { is_passed_on: true, ..req.clone() };
+            self.borders.peers.send(keeper, &PeerMessage::TokenRequest(passed_on));
+        }
+    }
+
+    /// Goes on with a ledger that another instance kept before.
+    pub(crate) fn take_ledger(&self, handover: &LedgerHandover) {
+        let limit = self.directory.catalogue().and_then(|it| it.limit(&handover.customer));
+        if let Some(limit) = limit {
+            let now = self.borders.clock.boot_now();
+            self.limits.ledger.borrow_mut().take_over(handover, limit, now);
+        }
+    }
+
+    fn grant(&self, req: &TokenRequest, now: BootInstant) -> TokenGrant {
+        let since = self.look_after_ledgers(now);
+        let limit = self.directory.catalogue().and_then(|it| it.limit(&req.customer));
+        let Some(limit) = limit else {
+            // A newer configuration than that of the instance that asks, or an older one.
+            let customer = req.customer.clone();
+            return TokenGrant { customer, tokens: 0, next_token_ms: 0, is_settling: true };
+        };
+        let part = f64::from(self.limits.part_percent.get()) / 100.0;
+        self.limits.ledger.borrow_mut().lend(req, limit, since, part, now)
+    }
+
+    /// Hands over the ledgers that other instances keep now; gives since when the members are what they are.
+    pub(crate) fn look_after_ledgers(&self, now: BootInstant) -> BootInstant {
+        let keepers = Keepers { members: self.peers.epoch(now), leaves: self.leaves() };
+        match self.limits.kept_by.get() {
+            Some((known, since)) if known == keepers => since,
+            _ => {
+                self.limits.kept_by.set(Some((keepers, now)));
+                self.limits.part_percent.set(self.peers.percent_in_reach(now));
+                let mut ledger = self.limits.ledger.borrow_mut();
+                let closed = ledger.close(|it| self.keeper(it) == self.own.address);
+                for handover in closed {
+                    let keeper = self.keeper(&handover.customer);
+                    self.borders.peers.send(keeper, &PeerMessage::LedgerHandover(handover));
+                }
+                now
+            }
+        }
+    }
+
+    /// Takes what a keeper lent.
+    pub(crate) fn take_grant(&self, grant: &TokenGrant) {
+        let account = self.limits.accounts.borrow().get(&grant.customer).cloned();
+        let Some(account) = account else { return };
+        let now = self.borders.clock.boot_now();
+        account.purse.borrow_mut().take(grant, now);
+        account.is_settling.set(grant.is_settling);
+        account.asked_at.set(None);
+        account.answered.notify(usize::MAX);
+    }
+
+    /// Notices changes of the members, and forgets customers that nobody hears of any more.
+    pub(crate) fn tend_limits(&self) {
+        let now = self.borders.clock.boot_now();
+        self.look_after_ledgers(now);
+        self.limits.part_percent.set(self.peers.percent_in_reach(now));
+        let mut accounts = self.limits.accounts.borrow_mut();
+        accounts.retain(|_, it| it.waiting.get() > 0 || !it.purse.borrow().is_idle(now));
+    }
+}
--- /dev/null
+++ b/crates/gullspar_direct/src/opening.rs
@@ -0,0 +1,37 @@
+//! What a caller opened its session with.
+
+use gullspar_customer::KeyFingerprint;
+use gullspar_model::{CustomerName, ServiceName};
+use gullspar_statement::{CallerMessage, Failure};
+
+use crate::{Proxy, Route, refusal};
+
+/// The service that a caller named, and its key.
+#[derive(Clone, Debug)]
+pub(crate) struct Opening {
+    pub(crate) service: ServiceName,
+    pub(crate) key: Option<KeyFingerprint>,
+}
+
+impl Opening {
+    /// The message that opens the same session elsewhere.
+    pub(crate) fn message(&self) -> CallerMessage {
+        CallerMessage::Open { service: self.service.clone(), key: self.key }
+    }
+}
+
+impl Proxy {
+    /// The customer that the session belongs to by the configuration in force, which may have taken its key away.
+    pub(crate) fn identify(
+        &self,
+        route: &Route,
+        opening: &Opening,
+    ) -> Result<Option<CustomerName>, Failure> {
+        let Some(catalogue) = self.directory.catalogue() else { return Ok(None) };
+        catalogue.identify(route, opening.key.as_ref()).map_err(|_| {
+            log::info!(service = opening.service.as_str(), version = catalogue.version; "G0766 a session's key is no longer valid");
+            self.borders.stats.key_refused();
+            refusal::unknown_key()
+        })
+    }
+}
--- /dev/null
+++ b/crates/gullspar_direct/src/peer_message.rs
@@ -0,0 +1,16 @@
+//! What instances send each other without waiting for an answer.
+
+use gullspar_customer::{LedgerHandover, TokenGrant, TokenRequest};
+use gullspar_model::record;
+
+use crate::Heartbeat;
+
+record! {
+    /// One datagram.
+    pub enum PeerMessage {
+        Heartbeat(Heartbeat),
+        TokenRequest(TokenRequest),
+        TokenGrant(TokenGrant),
+        LedgerHandover(LedgerHandover),
+    }
+}
--- a/crates/gullspar_direct/src/peer_table.rs
+++ b/crates/gullspar_direct/src/peer_table.rs
@@ -248,6 +248,11 @@
         self.membership.borrow().is_isolated(now)
     }
 
+    /// The part of the fleet, in percent, that is in data centres of which this instance reaches any.
+    pub(crate) fn percent_in_reach(&self, now: BootInstant) -> u32 {
+        self.membership.borrow().percent_in_reach(now)
+    }
+
     /// Instances that count in majorities, this one included.
     pub fn counted(&self, now: BootInstant) -> usize {
         self.membership.borrow().counted(now)
--- a/crates/gullspar_direct/src/placing.rs
+++ b/crates/gullspar_direct/src/placing.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use gullspar_model::{DataCentre, LogPoint, MemberName};
+use gullspar_model::{CustomerName, DataCentre, LogPoint, MemberName};
 
 use crate::group::Group;
 use crate::target::Target;
@@ -31,6 +31,8 @@
     /// Members tried already for this statement.
     pub(crate) tried: &'a [MemberName],
     pub(crate) own: &'a DataCentre,
+    /// Whose read it is.
+    pub(crate) customer: Option<&'a CustomerName>,
     pub(crate) now: Instant,
 }
 
@@ -65,6 +67,8 @@
     if spec.data_centre != *wanted.own {
         cost += REMOTE_COST;
     }
+    // Reads of a customer so stay where its connections are, unless the others are clearly less busy.
+    cost += wanted.customer.map_or(Duration::ZERO, |it| target.pool.opening_cost(it));
     if group.is_leader(&spec.member) {
         return cost * LEADER_FACTOR;
     }
--- a/crates/gullspar_direct/src/proxy.rs
+++ b/crates/gullspar_direct/src/proxy.rs
@@ -12,6 +12,7 @@
 use crate::discovery::Discovery;
 use crate::group::Group;
 use crate::home_plan::HomePlan;
+use crate::limits::Limits;
 use crate::{Borders, CutOff, Directory, Member, PeerTable, Phase, Shutdown};
 
 /// Time after start in which a missing leader is not held against a group.
@@ -66,6 +67,7 @@
     pub(crate) held: RefCell<BTreeMap<GroupName, Instant>>,
     /// The homes of groups, as last worked out.
     pub(crate) home_plans: RefCell<BTreeMap<GroupName, HomePlan>>,
+    pub(crate) limits: Limits,
     pub(crate) store_heard: RefCell<Option<BootInstant>>,
     pub(crate) started: Instant,
     /// It has been able to serve callers.
@@ -87,6 +89,7 @@
             avoided_homes: RefCell::default(),
             held: RefCell::default(),
             home_plans: RefCell::default(),
+            limits: Limits::default(),
             store_heard: RefCell::new(None),
             started,
             useful: Cell::new(false),
@@ -104,6 +107,7 @@
             let now = self.borders.clock.now();
             let lapse = self.directory.drop_lapsed(now);
             self.tend_groups();
+            self.tend_limits();
             self.borders.stats.levels(&self.levels());
             let until = lapse.map_or(now + TEND_EVERY, |it| it.min(now + TEND_EVERY));
             // Either way everything is looked at again.
--- a/crates/gullspar_direct/src/read_path.rs
+++ b/crates/gullspar_direct/src/read_path.rs
@@ -95,6 +95,9 @@
                 if let Some(place) = self.place(group, req, &tried) {
                     tried.push(place.target.member());
                     place.note(trace);
+                    if trace.tries > 1 {
+                        self.spend_again(req.customer.as_ref());
+                    }
                     running.push(self.spawn_try(group, req, place, tx.clone()));
                     another_due = false;
                 } else if running.is_empty() {
@@ -185,6 +188,7 @@
             at_least: needed.as_ref().map(|it| it.point),
             tried,
             own: &self.own.data_centre,
+            customer: req.customer.as_ref(),
             now: self.borders.clock.now(),
         };
         let target = placing::choose(group, &wanted)?;
--- a/crates/gullspar_direct/src/refusal.rs
+++ b/crates/gullspar_direct/src/refusal.rs
@@ -23,3 +23,8 @@
 pub(crate) fn timed_out() -> Failure {
     Failure::new(FailureCode::TimedOut, "no answer of the target in time; it may have run")
 }
+
+/// The failure for a caller whose key no customer holds.
+pub(crate) fn unknown_key() -> Failure {
+    Failure::new(FailureCode::Unauthenticated, "the key is unknown; not run")
+}
--- a/crates/gullspar_direct/src/relay.rs
+++ b/crates/gullspar_direct/src/relay.rs
@@ -5,11 +5,12 @@
 
 use futures::future::{self, Either, LocalBoxFuture};
 use gullspar_border::{DeadlinePassed, PeerError, within};
-use gullspar_model::{InstanceId, NotRun, ServiceName, record};
+use gullspar_model::{InstanceId, NotRun, record};
 use gullspar_statement::{
-    Answer, CallerLink, CallerLinkError, CallerMessage, FailureCode, TransactionStatus,
+    Answer, CallerLink, CallerLinkError, CallerMessage, Failure, FailureCode, TransactionStatus,
 };
 
+use crate::opening::Opening;
 use crate::{HandedOn, Member, Phase, Proxy, refusal};
 
 /// How long opening a session at a home may take before the next one is tried: a few milliseconds, and
@@ -59,14 +60,14 @@
 pub(crate) async fn open(
     proxy: &Proxy,
     homes: &[Member],
-    service: &ServiceName,
+    opening: &Opening,
     handed_on: &HandedOn,
 ) -> Option<(Answer, Home)> {
     let clock = &proxy.borders.clock;
     for home in homes {
         let deadline = clock.now() + OPEN_WITHIN;
         let opened =
-            within(&**clock, deadline, open_at(proxy, home, service, handed_on, deadline)).await;
+            within(&**clock, deadline, open_at(proxy, home, opening, handed_on, deadline)).await;
         let reason = match opened {
             Ok(Ok((answer, link))) if !refuses(&answer) => {
                 return Some((answer, Home { id: home.id.clone(), link }));
@@ -84,14 +85,13 @@
 async fn open_at(
     proxy: &Proxy,
     home: &Member,
-    service: &ServiceName,
+    opening: &Opening,
     handed_on: &HandedOn,
     deadline: Instant,
 ) -> Result<(Answer, Box<dyn HomeLink>), PeerError> {
     let peers = &proxy.borders.peers;
     let mut link = peers.open_session(home.address, handed_on.clone(), deadline).await?;
-    let opening = CallerMessage::Open { service: service.clone() };
-    link.send(&RelayMessage::Caller(opening)).await?;
+    link.send(&RelayMessage::Caller(opening.message())).await?;
     match link.next().await? {
         Some(RelayReply::Answer(answer)) => Ok((answer, link)),
         Some(RelayReply::Ending) | None => Err(PeerError::NoAnswer("it ends".to_owned())),
@@ -107,6 +107,7 @@
 pub(crate) struct Relay {
     pub(crate) proxy: Rc<Proxy>,
     pub(crate) caller: Box<dyn CallerLink>,
+    opening: Opening,
     home: Home,
     /// Messages that are not answered yet.
     unanswered: usize,
@@ -122,9 +123,14 @@
 }
 
 impl Relay {
-    pub(crate) fn new(proxy: Rc<Proxy>, caller: Box<dyn CallerLink>, home: Home) -> Relay {
+    pub(crate) fn new(
+        proxy: Rc<Proxy>,
+        caller: Box<dyn CallerLink>,
+        opening: Opening,
+        home: Home,
+    ) -> Relay {
         let status = TransactionStatus::Idle;
-        Relay { proxy, caller, home, unanswered: 0, status, ending: false }
+        Relay { proxy, caller, opening, home, unanswered: 0, status, ending: false }
     }
 
     /// Passes messages on until either side ends.
@@ -189,8 +195,25 @@
         }
     }
 
-    /// Sends a message on; `false` if the home has gone and the caller has been told.
+    /// Whether the session may go on by what this instance knows; the home may not have heard of it yet.
+    fn admits(&self) -> Result<(), Failure> {
+        match self.proxy.directory.route(&self.opening.service) {
+            Some(route) => self.proxy.identify(&route, &self.opening).map(|_| ()),
+            // The home answers for a service that is gone.
+            None => Ok(()),
+        }
+    }
+
+    /// Sends a message on; `false` if the home has gone or the session ends, and the caller has been told.
     async fn pass_on(&mut self, message: CallerMessage) -> Result<bool, CallerLinkError> {
+        if self.unanswered == 0
+            && let Err(failure) = self.admits()
+        {
+            // Without its session, the home rolls back what is open there.
+            let answer = Answer::failed(failure, TransactionStatus::Idle);
+            self.caller.reply(&answer).await?;
+            return Ok(false);
+        }
         self.unanswered += 1;
         if self.home.link.send(&RelayMessage::Caller(message)).await.is_err() {
             self.home_is_gone().await?;
--- a/crates/gullspar_direct/src/request.rs
+++ b/crates/gullspar_direct/src/request.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use arcstr::ArcStr;
-use gullspar_model::{Access, LogPoint, RequestId};
+use gullspar_model::{Access, CustomerName, LogPoint, RequestId};
 use gullspar_statement::{Definition, TargetCommand};
 
 use crate::Freshness;
@@ -26,6 +26,8 @@
     pub(crate) access: Access,
     /// It commits a transaction.
     pub(crate) commits: bool,
+    /// Whose statement it is.
+    pub(crate) customer: Option<CustomerName>,
     /// The session's values, shared with it.
     pub(crate) values: Rc<BTreeMap<ArcStr, ArcStr>>,
     pub(crate) freshness: Freshness,
--- a/crates/gullspar_direct/src/stats.rs
+++ b/crates/gullspar_direct/src/stats.rs
@@ -23,6 +23,10 @@
     targets_dark: Counter<u64>,
     rolled_back_points: Counter<u64>,
     acknowledged_alone: Counter<u64>,
+    keys_refused: Counter<u64>,
+    limited: Counter<u64>,
+    coasted: Counter<u64>,
+    connections: Counter<u64>,
     sessions: Gauge<u64>,
     configuration: Gauge<u64>,
     cut_off: Gauge<u64>,
@@ -80,6 +84,23 @@
                 "gullspar_acknowledged_alone",
                 "Commits acknowledged although no replica was seen to have them.",
             ),
+            keys_refused: counter(
+                "gullspar_keys_refused",
+                "Sessions and statements refused since no customer holds the key.",
+            ),
+            limited: counter(
+                "gullspar_limited_operations",
+                "Operations refused since their customer is at its limit.",
+            ),
+            coasted: counter(
+                "gullspar_coasted_operations",
+                "Operations run while the keeper of their customer's limit was out of reach.",
+            ),
+            connections: counter(
+                "gullspar_target_connections",
+                "Connections to targets, by what became of them: opened, refused, or closed for \
+                 another customer.",
+            ),
             sessions: gauge("gullspar_sessions", "Callers connected."),
             configuration: gauge(
                 "gullspar_configuration_version",
@@ -133,6 +154,22 @@
         self.acknowledged_alone.add(1, &[]);
     }
 
+    pub(crate) fn key_refused(&self) {
+        self.keys_refused.add(1, &[]);
+    }
+
+    pub(crate) fn limited(&self) {
+        self.limited.add(1, &[]);
+    }
+
+    pub(crate) fn coasted(&self) {
+        self.coasted.add(1, &[]);
+    }
+
+    pub(crate) fn connection(&self, event: &'static str) {
+        self.connections.add(1, &[KeyValue::new("event", event)]);
+    }
+
     pub(crate) fn levels(&self, levels: &Levels) {
         self.sessions.record(levels.sessions, &[]);
         self.configuration.record(levels.configuration, &[]);
--- a/crates/gullspar_direct/src/store_contact.rs
+++ b/crates/gullspar_direct/src/store_contact.rs
@@ -41,7 +41,7 @@
         }
         let mut near: Vec<&Member> =
             members.iter().filter(|it| it.data_centre == self.own.data_centre).collect();
-        near.sort_by_key(|it| homes::weight(&STORE_RANK.into(), &it.id));
+        near.sort_by_key(|it| homes::weight(STORE_RANK, &it.id));
         near.iter().take(FOLLOWERS).any(|it| it.id == self.own.id)
     }
 
--- a/crates/gullspar_direct/src/target.rs
+++ b/crates/gullspar_direct/src/target.rs
@@ -78,7 +78,7 @@
 
 impl Target {
     pub(crate) fn new(spec: Rc<TargetSpec>, borders: &Borders) -> Rc<Target> {
-        let pool = ConnectionPool::new(Rc::clone(&borders.clock), Rc::clone(&borders.dialer));
+        let pool = ConnectionPool::new(borders);
         let admission = Admission::new(Rc::clone(&borders.clock), spec.slots);
         Rc::new(Target {
             spec: RefCell::new(spec),
--- a/crates/gullspar_direct/src/transaction.rs
+++ b/crates/gullspar_direct/src/transaction.rs
@@ -38,6 +38,8 @@
     begun: bool,
     failed: bool,
     wrote: bool,
+    /// It counts against its customer's limit already.
+    pub(crate) charged: bool,
     /// Where it runs.
     pub(crate) trace: Trace,
 }
@@ -65,6 +67,7 @@
             begun: false,
             failed: false,
             wrote: false,
+            charged: false,
             trace: Trace::default(),
         }
     }
@@ -133,7 +136,8 @@
         }
     }
 
-    fn fail(&mut self, failure: Failure) -> Answer {
+    /// Fails it: nothing of it will be kept.
+    pub(crate) fn fail(&mut self, failure: Failure) -> Answer {
         self.failed = true;
         Answer::failed(failure, TransactionStatus::Failed)
     }
--- /dev/null
+++ b/crates/gullspar_direct/tests/customers.rs
@@ -0,0 +1,304 @@
+//! Customers: whose session it is, whose connections it uses, and how much may run.
+
+#![allow(clippy::unwrap_used, reason = "a test that can't go on must fail")]
+
+mod support;
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use gullspar_customer::{Customers, KeyFingerprint, RateLimit};
+use gullspar_direct::{Catalogue, Proxy};
+use gullspar_model::CustomerName;
+use gullspar_statement::{FailureCode, TransactionStatus};
+use support::{BOUNDED, FakeCaller, LATEST, World, member, pause, run};
+
+/// Connections to each target of which a fleet of eight can't have two each.
+const FEW_CONNECTIONS: u32 = 10;
+
+const NO_LIMIT: Option<RateLimit> = None;
+
+fn limit(per_s: u64, burst: u64) -> Option<RateLimit> {
+    Some(RateLimit { thousandths_per_s: per_s * 1000, burst })
+}
+
+/// The usual configuration, with these keys and their holders.
+fn with_customers(
+    version: u64,
+    connections: u32,
+    holders: &[(&str, &str, Option<RateLimit>)],
+) -> Catalogue {
+    let mut customers = Customers::default();
+    for (key, name, limit) in holders {
+        customers.add(CustomerName::new(name), [KeyFingerprint::of(key)], *limit);
+    }
+    Catalogue { customers: Some(customers), ..support::with_connections(version, connections) }
+}
+
+const TWO: [(&str, &str, Option<RateLimit>); 2] =
+    [("key-a", "abbey", NO_LIMIT), ("key-b", "barn", NO_LIMIT)];
+
+async fn served_by(world: &World, catalogue: Catalogue) -> Rc<Proxy> {
+    let proxy = world.instance_with(1, catalogue);
+    world.settle(&proxy).await;
+    proxy
+}
+
+async fn open(proxy: &Rc<Proxy>, service: &str, key: &str) -> FakeCaller {
+    let (caller, link) = FakeCaller::new();
+    let serve = gullspar_direct::serve_caller(Rc::clone(proxy), Box::new(link));
+    compio::runtime::spawn(serve).detach();
+    caller.open_with(service, Some(key)).await;
+    caller
+}
+
+async fn refused_at_opening(proxy: &Rc<Proxy>, service: &str, key: Option<&str>) -> FailureCode {
+    let (caller, link) = FakeCaller::new();
+    let serve = gullspar_direct::serve_caller(Rc::clone(proxy), Box::new(link));
+    compio::runtime::spawn(serve).detach();
+    caller.opening_refused_with(service, key).await
+}
+
+/// Guards against serving a key that no configuration holds.
+#[test]
+fn an_unknown_key_is_refused_at_once() {
+    run(async {
+        let world = World::new();
+        let proxy = served_by(&world, with_customers(2, 60, &TWO)).await;
+        for key in [Some("key-c"), None] {
+            assert_eq!(refused_at_opening(&proxy, LATEST, key).await, FailureCode::Unauthenticated);
+        }
+        assert_eq!(world.group.ran().len(), 0);
+    });
+}
+
+/// Guards against refusing callers of a service that needs no key.
+#[test]
+fn a_service_that_needs_no_key_serves_everybody() {
+    run(async {
+        let world = World::new();
+        let mut catalogue = with_customers(2, 60, &TWO);
+        catalogue.routes.get_mut(&BOUNDED.into()).unwrap().needs_key = false;
+        let proxy = served_by(&world, catalogue).await;
+        open(&proxy, BOUNDED, "whoever").await.done("READ slot").await;
+        assert_eq!(world.group.ran().last().unwrap().customer, None);
+        open(&proxy, BOUNDED, "key-a").await.done("READ slot").await;
+        assert_eq!(world.group.ran().last().unwrap().customer, Some("abbey".into()));
+    });
+}
+
+/// Guards against a statement that runs on a connection opened for another customer.
+#[test]
+fn a_connection_serves_one_customer_only() {
+    run(async {
+        let world = World::new();
+        let proxy = served_by(&world, with_customers(2, 60, &TWO)).await;
+        let callers = [
+            (open(&proxy, LATEST, "key-a").await, "abbey"),
+            (open(&proxy, LATEST, "key-b").await, "barn"),
+            (open(&proxy, BOUNDED, "key-a").await, "abbey"),
+            (open(&proxy, BOUNDED, "key-b").await, "barn"),
+        ];
+        for _ in 0..5 {
+            for (caller, customer) in &callers {
+                caller.done("BEGIN READ").await;
+                caller.done("READ slot").await;
+                caller.done("COMMIT").await;
+                caller.done("READ slot").await;
+                let ran = world.group.ran();
+                let last = &ran[ran.len() - 3..];
+                assert!(last.iter().all(|it| it.customer == Some((*customer).into())), "{last:?}");
+            }
+        }
+    });
+}
+
+/// Guards against a key that still works on an open session after it was taken away.
+#[test]
+fn a_key_that_is_taken_away_ends_the_session_and_its_transaction() {
+    run(async {
+        let world = World::new();
+        let proxy = served_by(&world, with_customers(2, 60, &TWO)).await;
+        let idle = open(&proxy, LATEST, "key-a").await;
+        let busy = open(&proxy, LATEST, "key-a").await;
+        let other = open(&proxy, LATEST, "key-b").await;
+        busy.done("BEGIN").await;
+        busy.done("WRITE slot mine").await;
+        proxy.directory.apply_catalogue(with_customers(3, 60, &TWO[1..]));
+        for caller in [&idle, &busy] {
+            let answer = caller.say("WRITE slot late").await;
+            assert_eq!(answer.result.unwrap_err().code, FailureCode::Unauthenticated);
+            assert_eq!(answer.status, TransactionStatus::Idle, "nothing is left open");
+            assert!(caller.next().await.is_none(), "the session ends");
+        }
+        other.done("WRITE slot theirs").await;
+        assert_eq!(world.group.value("slot"), Some("theirs".to_owned()));
+    });
+}
+
+/// Guards against statements that run under the name of a customer that held the key before.
+#[test]
+fn a_key_that_moves_takes_its_sessions_along_and_no_open_transaction() {
+    run(async {
+        let world = World::new();
+        let proxy = served_by(&world, with_customers(2, 60, &TWO)).await;
+        let idle = open(&proxy, LATEST, "key-a").await;
+        let busy = open(&proxy, LATEST, "key-a").await;
+        idle.done("READ slot").await;
+        busy.done("BEGIN").await;
+        busy.done("WRITE slot mine").await;
+        proxy.directory.apply_catalogue(with_customers(3, 60, &[("key-a", "barn", NO_LIMIT)]));
+        idle.done("READ slot").await;
+        assert_eq!(world.group.ran().last().unwrap().customer, Some("barn".into()));
+        assert_eq!(busy.refused("COMMIT").await, FailureCode::Unauthenticated);
+        assert_eq!(world.group.value("slot"), None);
+    });
+}
+
+/// Guards against a home that goes on serving a key of which the instance before it knows better.
+#[test]
+fn a_key_is_refused_by_whichever_of_two_instances_knows_first() {
+    run(async {
+        let world = World::new();
+        let catalogue = || with_customers(2, FEW_CONNECTIONS, &TWO);
+        let proxies: Vec<Rc<Proxy>> =
+            (1..=8).map(|it| world.instance_with(it, catalogue())).collect();
+        pause(6000).await;
+        let no_home = proxies.iter().find(|it| it.groups().is_empty()).unwrap();
+        let caller = open(no_home, LATEST, "key-a").await;
+        caller.done("WRITE slot mine").await;
+        assert_eq!(world.group.ran().last().unwrap().customer, Some("abbey".into()));
+        no_home.directory.apply_catalogue(with_customers(3, FEW_CONNECTIONS, &TWO[1..]));
+        assert_eq!(caller.refused("WRITE slot late").await, FailureCode::Unauthenticated);
+        assert_eq!(world.group.value("slot"), Some("mine".to_owned()));
+    });
+}
+
+/// Guards against more operations than a customer may have run, and against keeping those waiting that may not run.
+#[test]
+fn operations_beyond_the_limit_are_refused_at_once_and_do_not_run() {
+    run(async {
+        let world = World::new();
+        let holders = [("key-a", "abbey", limit(20, 10)), ("key-b", "barn", NO_LIMIT)];
+        let proxy = served_by(&world, with_customers(2, 60, &holders)).await;
+        pause(2000).await;
+        let caller = open(&proxy, LATEST, "key-a").await;
+        let other = open(&proxy, LATEST, "key-b").await;
+        let began = Instant::now();
+        let (mut ran, mut refused) = (0, 0);
+        while began.elapsed().as_millis() < 2000 {
+            let asked = Instant::now();
+            match caller.say("READ slot").await.result {
+                Ok(_) => ran += 1,
+                Err(failure) => {
+                    assert_eq!(failure.code, FailureCode::Congested);
+                    assert!(failure.text.contains("not run"), "{}", failure.text);
+                    assert!(asked.elapsed().as_millis() < 50, "refused at once");
+                    refused += 1;
+                    pause(5).await;
+                }
+            }
+        }
+        assert!((40..=52).contains(&ran), "{ran} of 20 a second and a burst of 10 ran in 2 s");
+        assert!(refused > 0);
+        let reads = world.group.ran().iter().filter(|it| it.text == "READ slot").count();
+        assert_eq!(reads, ran, "what was refused did not run");
+        other.done("READ slot").await;
+    });
+}
+
+/// Guards against counting each statement of a transaction, and against a refused transaction that leaves something.
+#[test]
+fn a_transaction_counts_once_and_fails_whole_at_the_limit() {
+    run(async {
+        let world = World::new();
+        let holders = [("key-a", "abbey", limit(1, 4))];
+        let proxy = served_by(&world, with_customers(2, 60, &holders)).await;
+        pause(9000).await;
+        let caller = open(&proxy, LATEST, "key-a").await;
+        for _ in 0..2 {
+            caller.done("BEGIN").await;
+            for _ in 0..6 {
+                caller.done("READ slot").await;
+            }
+            caller.done("COMMIT").await;
+        }
+        let mut refused = false;
+        for _ in 0..4 {
+            caller.done("BEGIN").await;
+            let answer = caller.say("WRITE slot late").await;
+            if answer.result.is_err() {
+                assert_eq!(answer.status, TransactionStatus::Failed);
+                refused = true;
+            }
+            caller.done("ROLLBACK").await;
+        }
+        assert!(refused, "of six transactions four may run at once");
+    });
+}
+
+/// Guards against a limit for each instance in place of one for all.
+#[test]
+fn a_limit_holds_over_all_instances() {
+    run(async {
+        let world = World::new();
+        let holders = [("key-a", "abbey", limit(40, 10))];
+        let proxies: Vec<Rc<Proxy>> = (1..=4)
+            .map(|it| world.instance_as(member(it), with_customers(2, 60, &holders)))
+            .collect();
+        for proxy in &proxies {
+            world.settle(proxy).await;
+        }
+        pause(2500).await;
+        let before = world.group.ran().len();
+        let mut asking = Vec::new();
+        for proxy in &proxies {
+            let caller = open(proxy, LATEST, "key-a").await;
+            asking.push(compio::runtime::spawn(async move {
+                let began = Instant::now();
+                while began.elapsed().as_millis() < 3000 {
+                    if caller.say("READ slot").await.result.is_err() {
+                        pause(10).await;
+                    }
+                }
+            }));
+        }
+        for task in asking {
+            let _ = task.await;
+        }
+        let ran = world.group.ran().len() - before;
+        assert!((110..=150).contains(&ran), "{ran} of 40 a second and a burst of 10 ran in 3 s");
+    });
+}
+
+/// Guards against a customer that is refused everything while the instance that counts for it is gone.
+#[test]
+fn callers_are_served_on_while_the_keeper_of_their_limit_is_replaced() {
+    run(async {
+        let world = World::new();
+        let holders = [("key-a", "abbey", limit(100, 100))];
+        let proxies: Vec<Rc<Proxy>> = (1..=4)
+            .map(|it| world.instance_as(member(it), with_customers(2, 60, &holders)))
+            .collect();
+        for proxy in &proxies {
+            world.settle(proxy).await;
+        }
+        pause(2500).await;
+        let caller = open(&proxies[0], BOUNDED, "key-a").await;
+        for _ in 0..40 {
+            caller.done("READ slot").await;
+            pause(20).await;
+        }
+        (2..=4).for_each(|it| world.network.cut(it));
+        let (mut served, mut refused) = (0, 0);
+        let began = Instant::now();
+        while began.elapsed().as_millis() < 900 {
+            match caller.say("READ slot").await.result {
+                Ok(_) => served += 1,
+                Err(_) => refused += 1,
+            }
+            pause(20).await;
+        }
+        assert!(served > 4 * refused, "{served} served and {refused} refused");
+    });
+}
--- a/crates/gullspar_direct/tests/support/fake_caller.rs
+++ b/crates/gullspar_direct/tests/support/fake_caller.rs
@@ -7,6 +7,7 @@
 use futures::channel::mpsc;
 use futures::future::{self, LocalBoxFuture};
 use futures::{FutureExt, StreamExt};
+use gullspar_customer::KeyFingerprint;
 use gullspar_model::Access;
 use gullspar_statement::{
     Action, Answer, CallerLink, CallerLinkError, CallerMessage, Definition, FailureCode, Statement,
@@ -47,13 +48,23 @@
     }
 
     pub async fn open(&self, service: &str) {
-        self.send(CallerMessage::Open { service: service.into() });
+        self.open_with(service, None).await;
+    }
+
+    pub async fn open_with(&self, service: &str, key: Option<&str>) {
+        let key = key.map(KeyFingerprint::of);
+        self.send(CallerMessage::Open { service: service.into(), key });
         assert_eq!(self.next().await.map(|it| it.result), Some(Ok(None)), "the session opens");
     }
 
     /// Opens a session that must be refused; gives the code.
     pub async fn opening_refused(&self, service: &str) -> FailureCode {
-        self.send(CallerMessage::Open { service: service.into() });
+        self.opening_refused_with(service, None).await
+    }
+
+    pub async fn opening_refused_with(&self, service: &str, key: Option<&str>) -> FailureCode {
+        let key = key.map(KeyFingerprint::of);
+        self.send(CallerMessage::Open { service: service.into(), key });
         let answer = self.next().await.expect("the session answers");
         answer.result.expect_err(service).code
     }
--- a/crates/gullspar_direct/tests/support/fake_group.rs
+++ b/crates/gullspar_direct/tests/support/fake_group.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use gullspar_model::{LogPoint, MemberName};
+use gullspar_model::{CustomerName, LogPoint, MemberName};
 use gullspar_statement::{TargetDialer, TargetSpec};
 
 use super::Fault;
@@ -16,6 +16,8 @@
 pub struct Ran {
     pub member: MemberName,
     pub connection: u64,
+    /// For whom the connection was opened.
+    pub customer: Option<CustomerName>,
     pub text: String,
     /// Session values on the connection, as `name=value`.
     pub values: Vec<String>,
--- a/crates/gullspar_direct/tests/support/fake_peers.rs
+++ b/crates/gullspar_direct/tests/support/fake_peers.rs
@@ -10,7 +10,7 @@
 use futures::future::LocalBoxFuture;
 use gullspar_border::PeerError;
 use gullspar_direct::{
-    HandedOn, Heartbeat, HomeLink, PeerChannel, Proxy, Snapshot, SnapshotRequest,
+    HandedOn, HomeLink, PeerChannel, PeerMessage, Proxy, Snapshot, SnapshotRequest,
     serve_relayed_caller,
 };
 
@@ -84,9 +84,9 @@
 }
 
 impl PeerChannel for Channel {
-    fn send(&self, to: SocketAddr, heartbeat: &Heartbeat) {
+    fn send(&self, to: SocketAddr, message: &PeerMessage) {
         if let Some(proxy) = self.network.reach(self.own, to) {
-            proxy.take_heartbeat(heartbeat.clone());
+            proxy.take_message(message.clone());
         }
     }
 
--- a/crates/gullspar_direct/tests/support/fake_target.rs
+++ b/crates/gullspar_direct/tests/support/fake_target.rs
@@ -7,7 +7,7 @@
 
 use futures::FutureExt;
 use futures::future::{self, LocalBoxFuture};
-use gullspar_model::LogPoint;
+use gullspar_model::{CustomerName, LogPoint};
 use gullspar_statement::{
     Answer, Failure, FailureCode, OpenError, OpenedTarget, TargetCommand, TargetDialer, TargetLink,
     TargetLinkError, TargetSpec, TransactionStatus,
@@ -25,6 +25,7 @@
     fn open<'a>(
         &'a self,
         spec: &'a TargetSpec,
+        customer: Option<&'a CustomerName>,
         deadline: Instant,
     ) -> LocalBoxFuture<'a, Result<OpenedTarget, OpenError>> {
         async move {
@@ -47,6 +48,7 @@
                 member: Rc::clone(member),
                 instance: self.instance,
                 connection,
+                customer: customer.cloned(),
                 transaction: None,
                 values: BTreeMap::new(),
                 prepared: BTreeMap::new(),
@@ -74,6 +76,7 @@
     member: Rc<Member>,
     instance: u16,
     connection: u64,
+    customer: Option<CustomerName>,
     transaction: Option<OpenTransaction>,
     values: BTreeMap<String, String>,
     prepared: BTreeMap<String, String>,
@@ -197,6 +200,7 @@
             self.group.ran.borrow_mut().push(Ran {
                 member: self.member.name.clone(),
                 connection: self.connection,
+                customer: self.customer.clone(),
                 text: text.to_owned(),
                 values: self.values.iter().map(|(name, value)| format!("{name}={value}")).collect(),
             });
--- a/crates/gullspar_direct/tests/support/mod.rs
+++ b/crates/gullspar_direct/tests/support/mod.rs
@@ -262,6 +262,7 @@
         statement_ms: STATEMENT_MS,
         objective_ms: 200,
         priority: 1,
+        needs_key: true,
     };
     let routes = [
         (ServiceName::new(LATEST), route(Freshness::Latest)),
@@ -273,5 +274,6 @@
         routes: routes.into_iter().collect(),
         groups: [(GroupName::new(GROUP), GroupLimits { connections: 60 })].into_iter().collect(),
         transaction_idle_ms: TRANSACTION_IDLE_MS,
+        customers: None,
     }
 }
--- a/crates/gullspar_membership/src/membership.rs
+++ b/crates/gullspar_membership/src/membership.rs
@@ -300,6 +300,17 @@
         1 + self.roster.counted(now)
     }
 
+    /// The part of the instances that count, in percent, that is in data centres of which any other is believed to be
+    /// alive, or in the own one.
+    pub fn percent_in_reach(&self, now: BootInstant) -> u32 {
+        let own = &self.own.member.data_centre;
+        let places = self.roster.counted_by_place(now);
+        let counted: usize = 1 + places.values().map(|it| it.counted).sum::<usize>();
+        let reached = places.iter().filter(|(place, it)| **place == own || it.alive > 0);
+        let reached: usize = 1 + reached.map(|(_, it)| it.counted).sum::<usize>();
+        (100 * reached / counted) as u32
+    }
+
     /// Whether most of the instances that count are out of this one's reach.
     ///
     /// Deaths become known one by one, and an instance behind a cut hears of none of those that no contact of its side
--- a/crates/gullspar_membership/src/roster.rs
+++ b/crates/gullspar_membership/src/roster.rs
@@ -179,8 +179,7 @@
 
     fn worsen(&mut self, id: &InstanceId, state: MemberState, now: BootInstant) -> bool {
         let Some(entry) = self.entries.get(id) else { return false };
-        let record =
-            MemberRecord { state, state_age_ms: 0, renewals: 0, ..entry.record.clone() };
+        let record = MemberRecord { state, state_age_ms: 0, renewals: 0, ..entry.record.clone() };
         self.learn(&record, now)
     }
 
@@ -266,6 +265,17 @@
         Population { alive: living.all, counted: living.staying + dead }
     }
 
+    /// Others, by data centre.
+    pub(crate) fn counted_by_place(&self, now: BootInstant) -> BTreeMap<&DataCentre, Population> {
+        let mut places: BTreeMap<&DataCentre, Population> = BTreeMap::new();
+        for entry in self.entries.values().filter(|it| it.counts(now)) {
+            let place = places.entry(&entry.record.member.data_centre).or_default();
+            place.counted += 1;
+            place.alive += usize::from(entry.is_alive());
+        }
+        places
+    }
+
     pub(crate) fn is_dead(&self, id: &InstanceId) -> bool {
         self.dead.contains(id)
     }
--- a/crates/gullspar_model/src/lib.rs
+++ b/crates/gullspar_model/src/lib.rs
@@ -34,7 +34,7 @@
 pub use member_spec::MemberSpec;
 pub use member_status::{MemberRole, MemberStatus};
 pub use names::{
-    CallerName, DataCentre, GroupName, InstanceId, MemberName, RequestId, ServiceName,
+    CallerName, CustomerName, DataCentre, GroupName, InstanceId, MemberName, RequestId, ServiceName,
 };
 pub use outcome::{NotRun, Outcome, SqlState, Unknown};
 pub use service_object::{CallerSpec, ServiceObject};
--- a/crates/gullspar_model/src/names.rs
+++ b/crates/gullspar_model/src/names.rs
@@ -57,6 +57,10 @@
     /// What a caller, or gullspar itself, calls one statement by.
     RequestId
 );
+name!(
+    /// A customer: who pays for a caller's operations, and whose limits they count against.
+    CustomerName
+);
 name!(
     /// The account under which a caller connects.
     CallerName
--- a/crates/gullspar_model/src/outcome.rs
+++ b/crates/gullspar_model/src/outcome.rs
@@ -21,6 +21,8 @@
         Behind,
         /// The queue is too long to answer in time.
         Overloaded { retry_after_ms: u64 },
+        /// The customer has had as many operations run as it may.
+        OverLimit { retry_after_ms: u64 },
         /// The deadline passed before the request reached a target.
         DeadlinePassed,
         /// No connection to the target or its home could be made.
@@ -65,7 +67,7 @@
     /// The SQLSTATE that callers see; listed in `docs/callers.md`.
     pub fn sql_state(self) -> SqlState {
         match self {
-            NotRun::Overloaded { .. } => "53400",
+            NotRun::Overloaded { .. } | NotRun::OverLimit { .. } => "53400",
             NotRun::DeadlinePassed => "57014",
             NotRun::TransactionLost | NotRun::ConnectionLost | NotRun::Undone => "40001",
             NotRun::Leaving => "57P01",
@@ -82,6 +84,7 @@
             NotRun::NoMajority => "a majority of the group is out of sight",
             NotRun::Behind => "no target within reach is fresh enough",
             NotRun::Overloaded { .. } => "the service is overloaded",
+            NotRun::OverLimit { .. } => "the customer is at its limit",
             NotRun::DeadlinePassed => "the deadline passed before the request reached a target",
             NotRun::Unreachable => "no target could be reached",
             NotRun::Leaving => "the instance is shutting down",
@@ -94,7 +97,9 @@
     /// When the caller should come back, in milliseconds.
     pub fn retry_after_ms(self) -> u64 {
         match self {
-            NotRun::Overloaded { retry_after_ms } => retry_after_ms,
+            NotRun::Overloaded { retry_after_ms } | NotRun::OverLimit { retry_after_ms } => {
+                retry_after_ms
+            }
             NotRun::TransactionLost | NotRun::ConnectionLost | NotRun::Undone => 50,
             _ => 250,
         }
--- a/crates/gullspar_net/src/datagram_peers.rs
+++ b/crates/gullspar_net/src/datagram_peers.rs
@@ -10,7 +10,7 @@
 use futures::future::LocalBoxFuture;
 use gullspar_border::{Clock, PeerError, within};
 use gullspar_direct::{
-    HandedOn, Heartbeat, HomeLink, PeerChannel, Proxy, Snapshot, SnapshotRequest,
+    HandedOn, HomeLink, PeerChannel, PeerMessage, Proxy, Snapshot, SnapshotRequest,
     serve_relayed_caller,
 };
 
@@ -38,8 +38,8 @@
 }
 
 impl PeerChannel for DatagramPeers {
-    fn send(&self, to: SocketAddr, heartbeat: &Heartbeat) {
-        let bytes = match postcard::to_stdvec(heartbeat) {
+    fn send(&self, to: SocketAddr, message: &PeerMessage) {
+        let bytes = match postcard::to_stdvec(message) {
             Ok(bytes) if bytes.len() <= HEARTBEAT_LIMIT => bytes,
             Ok(bytes) => {
                 log::warn!(bytes = bytes.len(); "G0735 a heartbeat is too long and is not sent");
@@ -103,7 +103,7 @@
         let BufResult(received, buf) = socket.recv_from(buf).await;
         match received {
             Ok((length, from)) => match postcard::from_bytes(&buf[..length.min(buf.len())]) {
-                Ok(heartbeat) => proxy.take_heartbeat(heartbeat),
+                Ok(message) => proxy.take_message(message),
                 Err(err) => {
                     log::debug!(from = from.to_string().as_str(), reason = err.to_string().as_str(); "G0738 a heartbeat is unreadable");
                 }
--- a/crates/gullspar_statement/src/caller_link.rs
+++ b/crates/gullspar_statement/src/caller_link.rs
@@ -4,6 +4,7 @@
 
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
+use gullspar_customer::KeyFingerprint;
 use gullspar_model::{RequestId, ServiceName, record};
 use quick_error::quick_error;
 
@@ -12,8 +13,8 @@
 record! {
     /// What a caller sends.
     pub enum CallerMessage {
-        /// Opens the session.
-        Open { service: ServiceName },
+        /// Opens the session; the key itself is not kept.
+        Open { service: ServiceName, key: Option<KeyFingerprint> },
         Statement(Statement),
         /// A statement that could not be understood; the session goes on.
         Malformed { id: RequestId, reason: String },
--- a/crates/gullspar_statement/src/failure.rs
+++ b/crates/gullspar_statement/src/failure.rs
@@ -27,6 +27,8 @@
         NoSuchPrepared,
         /// No service has that name.
         NoSuchService,
+        /// The caller's key is unknown; it did not run.
+        Unauthenticated,
         /// It can't be understood, or makes no sense now.
         Malformed,
         /// The message is too long.
--- a/crates/gullspar_statement/src/target_link.rs
+++ b/crates/gullspar_statement/src/target_link.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use futures::future::LocalBoxFuture;
-use gullspar_model::LogPoint;
+use gullspar_model::{CustomerName, LogPoint};
 use quick_error::quick_error;
 
 use crate::{Answer, Failure, TargetCommand, TargetSpec};
@@ -64,10 +64,12 @@
 
 /// Opens connections to targets.
 pub trait TargetDialer {
-    /// Connects to the member that `spec` names and to no other, giving up at `deadline`.
+    /// Connects to the member that `spec` names and to no other, for `customer` and nobody else, giving up at
+    /// `deadline`.
     fn open<'a>(
         &'a self,
         spec: &'a TargetSpec,
+        customer: Option<&'a CustomerName>,
         deadline: Instant,
     ) -> LocalBoxFuture<'a, Result<OpenedTarget, OpenError>>;
 }
