Go by eras of the store, so that one that comes back from an older copy undoes nothing

Cause: revisions were bare numbers that were taken to grow only. After a return from an older copy they are given out again: lists of targets counted as old until the counter had caught up, a watch could go on over a gap, fencing tokens could be shared or stay void, a conditional write could meet another object, and the registry of instances stayed empty.

Change: a Revision is a pair of era and number, decoded from the header of each answer; answers of an earlier era are no news; a watch ends with its era; the era is the upper part of a fencing token; a holder whose claim was lost stays alone for its time; entries of targets that were not known are doubted for two seconds; each instance enters itself again.

--- a/crates/gullspar/tests/soak.rs
+++ b/crates/gullspar/tests/soak.rs
@@ -11,7 +11,7 @@
 fn plan(seed: u64, faults_for: Duration) -> SoakPlan {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
     let program = PathBuf::from(env!("CARGO_BIN_EXE_gullspar"));
-    SoakPlan { program, folder, seed, instances: 3, faults_for }
+    SoakPlan { program, folder, seed, instances: 3, faults_for, customers: false }
 }
 
 /// Processes whose command line names a file in `folder`.
@@ -56,3 +56,15 @@
     assert_eq!(report.breaches, [], "{report:#?}");
     assert!(report.done_after > 0, "nothing is served after the faults: {report:#?}");
 }
+
+/// Guards against keys that are served under another customer's name, and against what a store that comes back from an
+/// older copy undoes.
+#[test]
+fn customers_and_restored_stores_break_no_promise() {
+    let plan = SoakPlan { customers: true, ..plan(41, Duration::from_secs(6)) };
+    let runtime = compio::runtime::Runtime::new().unwrap();
+    let report = runtime.block_on(soak(&plan)).unwrap();
+    assert_eq!(report.breaches, [], "{report:#?}");
+    assert!(report.faults.iter().any(|it| it.contains("Drill")), "{report:#?}");
+    assert!(report.done_after > 0, "nothing is served after the faults: {report:#?}");
+}
--- a/crates/gullspar_direct/src/catalogue.rs
+++ b/crates/gullspar_direct/src/catalogue.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use gullspar_customer::{Customers, KeyFingerprint, RateLimit};
-use gullspar_model::{CustomerName, GroupName, ServiceName, record};
+use gullspar_model::{CustomerName, GroupName, Revision, ServiceName, record};
 use gullspar_statement::TargetSpec;
 
 use crate::Freshness;
@@ -76,7 +76,7 @@
     /// The targets that the platform lists.
     pub struct TargetList {
         /// Grows with each change at the platform.
-        pub revision: u64,
+        pub revision: Revision,
         pub targets: Vec<TargetSpec>,
     }
 }
--- a/crates/gullspar_direct/src/claim_book.rs
+++ b/crates/gullspar_direct/src/claim_book.rs
@@ -23,6 +23,10 @@
 pub struct ClaimBook {
     lease: Duration,
     newest: Option<Known>,
+    /// The holder before the newest, which may still be alone.
+    ///
+    /// The store may lose a claim with the copy that it comes back from, and show an older one as its newest.
+    before: Option<Known>,
 }
 
 #[derive(Clone, Debug)]
@@ -35,7 +39,7 @@
 impl ClaimBook {
     /// An empty book; a holder that lives is alone for `lease` after it acted.
     pub fn new(lease: Duration) -> ClaimBook {
-        ClaimBook { lease, newest: None }
+        ClaimBook { lease, newest: None, before: None }
     }
 
     /// Notes that the claim stands in the store, seen at `at`.
@@ -53,7 +57,15 @@
         match &mut self.newest {
             Some(known) if known.token > token => {}
             Some(known) if known.token == token => known.acted_at = known.acted_at.max(at),
-            _ => self.newest = Some(Known { token, holder, acted_at: at }),
+            _ => {
+                let newest = Known { token, holder, acted_at: at };
+                let before = self.newest.replace(newest);
+                let acted_last =
+                    |it: &Known| self.before.as_ref().is_none_or(|old| it.acted_at >= old.acted_at);
+                if before.as_ref().is_some_and(acted_last) {
+                    self.before = before;
+                }
+            }
         }
     }
 
@@ -97,7 +109,9 @@
         now: BootInstant,
         alive: impl Fn(&InstanceId) -> bool,
     ) -> bool {
-        let Some(known) = &self.newest else { return true };
-        known.holder == *own || !alive(&known.holder) || now.since(known.acted_at) >= self.lease
+        let allows = |it: &Known| {
+            it.holder == *own || !alive(&it.holder) || now.since(it.acted_at) >= self.lease
+        };
+        [&self.newest, &self.before].into_iter().flatten().all(allows)
     }
 }
--- a/crates/gullspar_direct/src/directory.rs
+++ b/crates/gullspar_direct/src/directory.rs
@@ -1,12 +1,12 @@
 //! The configuration and the targets that this instance goes by.
 
-use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use event_listener::{Event, EventListener};
-use gullspar_model::{GroupName, MemberName, ServiceName};
+use gullspar_model::{GroupName, MemberName, Revision, ServiceName};
 use gullspar_statement::TargetSpec;
 
 use crate::{Catalogue, Route, TargetList};
@@ -17,6 +17,10 @@
 /// two seconds after its return. Dropping them at once would take healthy targets out of service.
 const LAPSE_GRACE: Duration = Duration::from_millis(2500);
 
+/// How long an entry that is back with an older copy of the store is not believed unless its target writes again; those
+/// that live do so within this time.
+const RESTORED_GRACE: Duration = Duration::from_secs(2);
+
 struct Listed {
     spec: Rc<TargetSpec>,
     /// Set when the platform stopped listing it.
@@ -28,7 +32,11 @@
 pub struct Directory {
     catalogue: RefCell<Option<Rc<Catalogue>>>,
     targets: RefCell<BTreeMap<MemberName, Listed>>,
-    target_revision: RefCell<Option<u64>>,
+    target_revision: RefCell<Option<Revision>>,
+    /// Entries of targets that were not known when the store came back from an older copy, and until when they are
+    /// doubted.
+    doubted: RefCell<BTreeMap<MemberName, TargetSpec>>,
+    doubted_until: Cell<Option<Instant>>,
     changed: Event,
 }
 
@@ -53,25 +61,44 @@
         if self.target_revision.borrow().is_some_and(|it| it > list.revision) {
             return false;
         }
-        *self.target_revision.borrow_mut() = Some(list.revision);
+        let before = self.target_revision.borrow_mut().replace(list.revision);
+        if before.is_some_and(|it| it.era < list.revision.era) {
+            log::warn!(revision = list.revision.to_string().as_str(); "G0768 the store has come back from an older copy");
+            self.doubted_until.set(Some(now + RESTORED_GRACE));
+        }
+        let doubts = self.doubted_until.get().is_some_and(|until| now < until);
         let mut targets = self.targets.borrow_mut();
+        let mut doubted = self.doubted.borrow_mut();
         let mut fresh: BTreeMap<MemberName, Listed> = BTreeMap::new();
+        let mut outdated = BTreeSet::new();
         for spec in list.targets {
+            let known = targets.get(&spec.member);
             // An entry that somebody else wrote, or its target long ago; what is in force lapses unless
             // the target says something new of itself.
-            if targets.get(&spec.member).is_some_and(|it| it.spec.is_after(&spec)) {
+            if known.is_some_and(|it| it.spec.is_after(&spec)) {
                 log::warn!(member = spec.member.as_str(), beat = spec.beat; "G0757 an entry of a target is older than what it said before");
+                outdated.insert(spec.member);
                 continue;
             }
+            if known.is_none() && doubts {
+                // Of a target that may have left since the copy was made.
+                let first = doubted.entry(spec.member.clone()).or_insert_with(|| spec.clone());
+                if !spec.is_after(first) {
+                    continue;
+                }
+            }
             let listed = Listed { spec: Rc::new(spec), gone_at: None };
             fresh.insert(listed.spec.member.clone(), listed);
         }
+        if !doubts {
+            doubted.clear();
+        }
         for (member, old) in std::mem::take(&mut *targets) {
             if fresh.contains_key(&member) {
                 continue;
             }
             // One that said it leaves has left; there is nothing to wait for.
-            if old.spec.leaving {
+            if old.spec.leaving && !outdated.contains(&member) {
                 log::info!(member = member.as_str(); "G0702 a leaving target has left");
                 continue;
             }
@@ -116,9 +143,9 @@
         self.catalogue.borrow().as_ref().map_or(0, |it| it.version)
     }
 
-    /// The revision of the list of targets; 0 for none.
-    pub fn target_revision(&self) -> u64 {
-        self.target_revision.borrow().unwrap_or(0)
+    /// The revision of the list of targets; the first one for none.
+    pub fn target_revision(&self) -> Revision {
+        self.target_revision.borrow().unwrap_or_default()
     }
 
     /// How statements of `service` are served.
--- a/crates/gullspar_direct/src/discovery.rs
+++ b/crates/gullspar_direct/src/discovery.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use event_listener::Event;
-use gullspar_border::within;
+use gullspar_border::{jittered, within};
 
 use crate::{Member, Proxy};
 
@@ -27,6 +27,9 @@
 /// How long an instance hears nobody before it looks others up.
 const LONELY_AFTER: Duration = Duration::from_millis(1500);
 
+/// Time between the entries of two instances that enter again at the same time.
+const ENTER_SPACING: Duration = Duration::from_millis(3);
+
 /// Whether this instance knows how many others to expect.
 #[derive(Default)]
 pub(crate) struct Discovery {
@@ -63,7 +66,16 @@
         self.expect(found.unwrap_or_default());
         self.discovery.finish();
         self.tend_groups();
+        let mut era = self.directory.target_revision().era;
         loop {
+            let known = self.directory.target_revision().era;
+            if known > era {
+                // The older copy may lack this instance. Not all write at once.
+                entered = false;
+                let spread = ENTER_SPACING * self.members().len() as u32;
+                clock.sleep_until(clock.now() + jittered(&*self.borders.entropy, spread)).await;
+            }
+            era = known;
             if !entered {
                 entered = self.enter_registry().await;
             }
--- a/crates/gullspar_direct/src/heartbeat.rs
+++ b/crates/gullspar_direct/src/heartbeat.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use gullspar_membership::{Gossip, Member};
-use gullspar_model::{GroupName, InstanceId, MemberName, record};
+use gullspar_model::{GroupName, InstanceId, MemberName, Revision, record};
 
 use crate::ClaimNote;
 
@@ -38,7 +38,7 @@
     pub struct Heartbeat {
         pub gossip: Gossip,
         pub catalogue_version: u64,
-        pub target_revision: u64,
+        pub target_revision: Revision,
         /// How long ago the sender knew of an instance that reaches the platform's store, itself included.
         pub store_age_ms: Option<u32>,
         /// How long ago the sender knew of a home in its data centre that reaches its leaders, itself included.
--- a/crates/gullspar_direct/src/peer_table.rs
+++ b/crates/gullspar_direct/src/peer_table.rs
@@ -9,7 +9,7 @@
 use event_listener::{Event, EventListener};
 use gullspar_border::BootInstant;
 use gullspar_membership::{Gossip, Member, Membership, Taken};
-use gullspar_model::InstanceId;
+use gullspar_model::{InstanceId, Revision};
 
 use crate::Heartbeat;
 use crate::last_known::LastKnown;
@@ -185,7 +185,7 @@
     pub(crate) fn ahead(
         &self,
         version: u64,
-        revision: Option<u64>,
+        revision: Option<Revision>,
         now: BootInstant,
     ) -> Vec<Member> {
         self.views.ahead(version, revision, STORE_KNOWN_FOR, now)
--- a/crates/gullspar_direct/src/snapshot.rs
+++ b/crates/gullspar_direct/src/snapshot.rs
@@ -1,6 +1,6 @@
 //! What one instance hands to another that lacks it.
 
-use gullspar_model::record;
+use gullspar_model::{Revision, record};
 
 use crate::{Catalogue, TargetList};
 
@@ -9,7 +9,7 @@
     #[derive(Copy)]
     pub struct SnapshotRequest {
         pub catalogue_version: u64,
-        pub target_revision: u64,
+        pub target_revision: Revision,
     }
 }
 
--- a/crates/gullspar_direct/src/views.rs
+++ b/crates/gullspar_direct/src/views.rs
@@ -7,7 +7,7 @@
 
 use gullspar_border::BootInstant;
 use gullspar_membership::{COUNTS_FOR, Member};
-use gullspar_model::{GroupName, InstanceId, MemberName};
+use gullspar_model::{GroupName, InstanceId, MemberName, Revision};
 
 use crate::{Heartbeat, LeaderHealth};
 
@@ -166,7 +166,7 @@
     pub(crate) fn ahead(
         &self,
         version: u64,
-        revision: Option<u64>,
+        revision: Option<Revision>,
         store_known_for: Duration,
         now: BootInstant,
     ) -> Vec<Member> {
--- a/crates/gullspar_direct/tests/knowledge.rs
+++ b/crates/gullspar_direct/tests/knowledge.rs
@@ -8,7 +8,7 @@
 use gullspar_direct::{
     Ballot, ClaimBook, ClaimNote, Directory, FencingToken, Reading, Readings, TargetList, Verdict,
 };
-use gullspar_model::LogPoint;
+use gullspar_model::{InstanceId, LogPoint, Revision};
 use gullspar_statement::TargetSpec;
 use support::{FakeGroup, GROUP, World, catalogue, pause, run, until};
 use test_case::test_case;
@@ -76,8 +76,12 @@
     let directory = Directory::default();
     let now = Instant::now();
     let targets = FakeGroup::new(GROUP, 3).specs();
-    directory.apply_targets(TargetList { revision: 1, targets: targets.clone() }, now);
-    directory.apply_targets(TargetList { revision: 2, targets: targets[1..].to_vec() }, now);
+    directory
+        .apply_targets(TargetList { revision: Revision::new(0, 1), targets: targets.clone() }, now);
+    directory.apply_targets(
+        TargetList { revision: Revision::new(0, 2), targets: targets[1..].to_vec() },
+        now,
+    );
     assert_eq!(directory.targets().len(), 3);
     assert_eq!(directory.target_list().targets.len(), 2, "others are told what is listed");
     directory.drop_lapsed(now + Duration::from_secs(2));
@@ -93,8 +97,12 @@
     let now = Instant::now();
     let mut targets = FakeGroup::new(GROUP, 2).specs();
     targets[0].leaving = true;
-    directory.apply_targets(TargetList { revision: 1, targets: targets.clone() }, now);
-    directory.apply_targets(TargetList { revision: 2, targets: targets[1..].to_vec() }, now);
+    directory
+        .apply_targets(TargetList { revision: Revision::new(0, 1), targets: targets.clone() }, now);
+    directory.apply_targets(
+        TargetList { revision: Revision::new(0, 2), targets: targets[1..].to_vec() },
+        now,
+    );
     assert_eq!(directory.targets().len(), 1);
 }
 
@@ -111,7 +119,7 @@
         revision += 1;
         let mut targets = FakeGroup::new(GROUP, 1).specs();
         targets[0] = TargetSpec { started_ms, beat, slots, ..targets[0].clone() };
-        directory.apply_targets(TargetList { revision, targets }, now);
+        directory.apply_targets(TargetList { revision: Revision::new(0, revision), targets }, now);
         directory.drop_lapsed(now);
         directory.targets().first().map(|it| it.slots)
     };
@@ -129,8 +137,11 @@
 fn an_older_list_of_targets_changes_nothing() {
     let directory = Directory::default();
     let targets = FakeGroup::new(GROUP, 2).specs();
-    directory.apply_targets(TargetList { revision: 5, targets }, Instant::now());
-    assert!(!directory.apply_targets(TargetList { revision: 4, targets: vec![] }, Instant::now()));
+    directory.apply_targets(TargetList { revision: Revision::new(0, 5), targets }, Instant::now());
+    assert!(!directory.apply_targets(
+        TargetList { revision: Revision::new(0, 4), targets: vec![] },
+        Instant::now()
+    ));
     assert_eq!(directory.targets().len(), 2);
 }
 
@@ -203,7 +214,10 @@
         one.store_answered();
         world.group.leaves(1);
         world.list_targets(&one, 9);
-        until(1500, "the targets are there", || other.directory.target_revision() == 9).await;
+        until(1500, "the targets are there", || {
+            other.directory.target_revision() == Revision::new(0, 9)
+        })
+        .await;
         assert!(other.directory.targets().iter().any(|it| it.leaving));
     });
 }
@@ -219,7 +233,7 @@
         other.store_answered();
         world.list_targets(&one, 9);
         pause(800).await;
-        assert_eq!(other.directory.target_revision(), 1);
+        assert_eq!(other.directory.target_revision(), Revision::new(0, 1));
     });
 }
 
@@ -238,3 +252,47 @@
         until(4000, "they know each other", || known(&lost) == 1 && known(&one) == 1).await;
     });
 }
+
+/// Guards against targets that are used again since the store came back from a copy in which they still stand.
+#[test]
+fn a_target_that_is_back_with_an_older_copy_is_doubted_until_it_writes_again() {
+    let directory = Directory::default();
+    let now = Instant::now();
+    let all = FakeGroup::new(GROUP, 3).specs();
+    let list = |era, number, targets: &[TargetSpec]| TargetList {
+        revision: Revision::new(era, number),
+        targets: targets.to_vec(),
+    };
+    directory.apply_targets(list(1, 90, &all[..2]), now);
+    assert!(
+        directory.apply_targets(list(2, 50, &all), now),
+        "a later era goes before a higher number"
+    );
+    assert_eq!(directory.targets().len(), 2, "the third has left");
+    let mut newer = all.clone();
+    newer[2].beat += 1;
+    directory.apply_targets(list(2, 51, &newer), now + Duration::from_millis(900));
+    assert_eq!(directory.targets().len(), 3, "it lives");
+    assert!(!directory.apply_targets(list(1, 99, &all[..1]), now), "an earlier era tells nothing");
+
+    let other = Directory::default();
+    other.apply_targets(list(1, 90, &all[..2]), now);
+    other.apply_targets(list(2, 50, &all), now);
+    other.apply_targets(list(2, 60, &all), now + Duration::from_millis(2100));
+    assert_eq!(other.targets().len(), 3, "it is listed for longer than those that left");
+}
+
+/// Guards against a turn inside the lease of a holder whose claim the copy lacks.
+#[test]
+fn a_holder_whose_claim_was_lost_stays_alone_for_its_lease() {
+    let (lost, restored, own) = ("lost".into(), "restored".into(), "own".into());
+    let at = |ms: u64| BootInstant(1_000_000_000 + ms * 1000);
+    let mut book = ClaimBook::new(Duration::from_millis(1500));
+    book.note(FencingToken(90), InstanceId::clone(&lost), at(1000));
+    let token_after = FencingToken((1 << 40) + 50);
+    book.saw(token_after, InstanceId::clone(&restored), at(1200));
+    let lives = |id: &InstanceId| *id == lost;
+    assert!(!book.may_act(&own, at(2400), lives));
+    assert!(book.may_act(&own, at(2600), lives));
+    assert!(book.may_act(&own, at(2400), |_| false), "whoever is gone is not waited for");
+}
--- a/crates/gullspar_direct/tests/news.rs
+++ b/crates/gullspar_direct/tests/news.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use gullspar_direct::Proxy;
+use gullspar_model::Revision;
 use support::{World, catalogue, pause, run, until};
 
 /// More instances than all follow the store.
@@ -47,7 +48,7 @@
         let other = proxies.iter().find(|it| !it.follows_store()).unwrap();
         world.list_targets(other, 5);
         world.list_targets(follower, 9);
-        let told = || other.directory.target_revision() == 9;
+        let told = || other.directory.target_revision() == Revision::new(0, 9);
         until(TOLD_WITHIN, "it has the followers' list", told).await;
     });
 }
--- a/crates/gullspar_direct/tests/started_anew.rs
+++ b/crates/gullspar_direct/tests/started_anew.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use gullspar_direct::{Catalogue, GroupLimits, TargetList};
-use gullspar_model::GroupName;
+use gullspar_model::{GroupName, Revision};
 use gullspar_statement::FailureCode;
 use support::{BOUNDED, Fault, LATEST, OWN, catalogue, leader_of, pause, run, settled, until};
 
@@ -104,7 +104,10 @@
         let (world, proxy) = settled().await;
         let mut targets = world.group.specs();
         targets[1].group = "nobody's".into();
-        proxy.directory.apply_targets(TargetList { revision: 2, targets }, world.clock.now());
+        proxy.directory.apply_targets(
+            TargetList { revision: Revision::new(0, 2), targets },
+            world.clock.now(),
+        );
         pause(50).await;
         assert!(proxy.group(&"nobody's".into()).is_none());
         assert_eq!(world.group.connections(1), 0);
--- a/crates/gullspar_direct/tests/support/mod.rs
+++ b/crates/gullspar_direct/tests/support/mod.rs
@@ -23,7 +23,7 @@
     Borders, Catalogue, Freshness, GroupLimits, Identity, Member, Proxy, Route, Stats, TargetList,
     serve_caller,
 };
-use gullspar_model::{GroupName, InstanceId, ServiceName};
+use gullspar_model::{GroupName, InstanceId, Revision, ServiceName};
 use gullspar_net::{SystemClock, SystemEntropy};
 
 pub use fake_caller::FakeCaller;
@@ -200,7 +200,7 @@
 
     /// Tells an instance which targets there are.
     pub fn list_targets(&self, proxy: &Proxy, revision: u64) {
-        let list = TargetList { revision, targets: self.group.specs() };
+        let list = TargetList { revision: Revision::new(0, revision), targets: self.group.specs() };
         proxy.directory.apply_targets(list, self.clock.now());
     }
 
--- a/crates/gullspar_model/src/lib.rs
+++ b/crates/gullspar_model/src/lib.rs
@@ -16,6 +16,7 @@
 mod names;
 mod outcome;
 mod record;
+mod revision;
 mod service_object;
 mod target_key;
 mod token;
@@ -37,6 +38,7 @@
     CallerName, CustomerName, DataCentre, GroupName, InstanceId, MemberName, RequestId, ServiceName,
 };
 pub use outcome::{NotRun, Outcome, SqlState, Unknown};
+pub use revision::Revision;
 pub use service_object::{CallerSpec, ServiceObject};
 pub use target_key::TargetKey;
 pub use token::Token;
--- a/crates/gullsparctl/src/command_line.rs
+++ b/crates/gullsparctl/src/command_line.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use clap::{Arg, Command, value_parser};
+use clap::{Arg, ArgAction, Command, value_parser};
 
 /// The whole command line.
 pub(crate) fn command() -> Command {
@@ -13,10 +13,8 @@
         .help("Operator address of any instance, as 127.0.0.1:7001")
         .required(true)
         .value_parser(value_parser!(SocketAddr));
-    let json = Arg::new("json")
-        .long("json")
-        .help("Print the answer as JSON")
-        .action(clap::ArgAction::SetTrue);
+    let json =
+        Arg::new("json").long("json").help("Print the answer as JSON").action(ArgAction::SetTrue);
     Command::new("gullsparctl")
         .version(env!("CARGO_PKG_VERSION"))
         .about("Drives gullspar: say what you want, look at the plan, confirm it")
@@ -125,4 +123,10 @@
         .arg(number("count", "1", "How many seeds"))
         .arg(number("instances", "3", "Instances in each run"))
         .arg(number("seconds", "10", "Seconds in which faults come"))
+        .arg(
+            Arg::new("customers")
+                .long("customers")
+                .help("Give callers keys, take some away, and restore the store from older copies")
+                .action(ArgAction::SetTrue),
+        )
 }
--- a/crates/gullsparctl/src/soak_command.rs
+++ b/crates/gullsparctl/src/soak_command.rs
@@ -20,6 +20,7 @@
             seed,
             instances: number("instances") as usize,
             faults_for: Duration::from_secs(number("seconds")),
+            customers: args.get_flag("customers"),
         };
         let runtime =
             compio::runtime::Runtime::new().map_err(|err| CommandError::Text(err.to_string()))?;
