--- a/crates/gullspar_customer/src/purse.rs
+++ b/crates/gullspar_customer/src/purse.rs
@@ -12,8 +12,15 @@
 /// Time over which the rate of operations is averaged.
 const RATE_OVER: Duration = Duration::from_secs(2);
 
-/// How long operations go on at the usual rate while nobody lends.
-const COAST_FOR: Duration = Duration::from_secs(1);
+/// How long operations go on at the usual rate while nobody lends: until a keeper that is silent is known to be dead, and
+/// its successor lends.
+const COAST_FOR: Duration = Duration::from_millis(2500);
+
+/// How long, for a customer that was at its limit lately.
+const COAST_AT_LIMIT_FOR: Duration = Duration::from_secs(1);
+
+/// How long after it was at its limit a customer is likely to be there still.
+const AT_LIMIT_FOR: Duration = Duration::from_secs(5);
 
 /// Time in which what was spent while nobody lent may be spent again.
 const COAST_AGAIN_AFTER: Duration = Duration::from_secs(10);
@@ -41,6 +48,8 @@
     tokens: u32,
     expires_at: BootInstant,
     exhausted_until: Option<BootInstant>,
+    /// When its keeper last had no token for it.
+    exhausted_at: Option<BootInstant>,
     /// Operations a second of late, and when that was worked out.
     rate: f64,
     rated_at: BootInstant,
@@ -56,6 +65,7 @@
             tokens: 0,
             expires_at: now,
             exhausted_until: None,
+            exhausted_at: None,
             rate: 0.0,
             rated_at: now,
             coast_left: 1.0,
@@ -91,6 +101,9 @@
         }
         self.tokens += grant.tokens;
         self.expires_at = now.plus(SPEND_WITHIN);
+        if grant.tokens == 0 && !grant.is_settling {
+            self.exhausted_at = Some(now);
+        }
         self.exhausted_until = (grant.tokens == 0 && !grant.is_settling).then(|| {
             let pause = Duration::from_millis(u64::from(grant.next_token_ms));
             now.plus(pause.min(MOST_PAUSE))
@@ -102,7 +115,9 @@
     /// The keeper may be gone or cut off. Its successor lends nothing for a second, in which instances go on at the rate
     /// that they had; together that is no more than the customer was lent before.
     pub fn coast(&mut self, now: BootInstant) -> bool {
-        let allowed = (self.rate * COAST_FOR.as_secs_f64()).max(1.0);
+        let at_limit = self.exhausted_at.is_some_and(|at| now.since(at) < AT_LIMIT_FOR);
+        let time = if at_limit { COAST_AT_LIMIT_FOR } else { COAST_FOR };
+        let allowed = (self.rate * time.as_secs_f64()).max(1.0);
         let passed = now.since(self.coasted_at).as_secs_f64();
         let regained = passed / COAST_AGAIN_AFTER.as_secs_f64();
         self.coast_left = (self.coast_left + regained).min(1.0);
--- a/crates/gullspar_customer/src/token_bucket.rs
+++ b/crates/gullspar_customer/src/token_bucket.rs
@@ -4,11 +4,6 @@
 
 use crate::RateLimit;
 
-/// The part of a limit's burst that the bucket holds, in percent.
-///
-/// The rest covers what is lent and spent a moment later, and what instances spend of their own while nobody lends.
-const BURST_PERCENT: u64 = 80;
-
 /// Tokens of one customer; a token is one operation.
 ///
 /// The count may lie below zero: what was spent elsewhere before is then made up for first.
@@ -75,5 +70,5 @@
 
 /// A limit without any burst still lets single operations through.
 fn capacity(limit: RateLimit) -> f64 {
-    (limit.burst * BURST_PERCENT / 100).max(1) as f64
+    limit.burst.max(1) as f64
 }
