--- a/crates/gullspar_direct/tests/support/fake_group.rs
+++ b/crates/gullspar_direct/tests/support/fake_group.rs
@@ -56,6 +56,15 @@
     pub work_ms: Cell<u64>,
     /// How long a rollback takes, in milliseconds.
     pub rollback_ms: Cell<u64>,
+    /// Connections that each member takes, if there is a bound.
+    pub most_connections: Cell<Option<u32>>,
+    /// Connections of instances that are gone, which each member still keeps.
+    pub kept_for_the_dead: Cell<u32>,
+    /// How long opening a connection takes, in milliseconds.
+    pub open_ms: Cell<u64>,
+    /// Connections opened, and those refused for want of room.
+    pub opened: Cell<u32>,
+    pub turned_away: Cell<u32>,
 }
 
 impl FakeGroup {
@@ -85,6 +94,11 @@
             failed: Cell::new(0),
             work_ms: Cell::new(1),
             rollback_ms: Cell::new(0),
+            most_connections: Cell::new(None),
+            kept_for_the_dead: Cell::new(0),
+            open_ms: Cell::new(0),
+            opened: Cell::new(0),
+            turned_away: Cell::new(0),
         })
     }
 
--- a/crates/gullspar_direct/tests/support/fake_target.rs
+++ b/crates/gullspar_direct/tests/support/fake_target.rs
@@ -39,12 +39,20 @@
                 let failure = Failure::new(FailureCode::TooManyConnections, "full");
                 return Err(OpenError::Refused(failure));
             }
+            let group = &self.group;
+            let held = member.connections.get() + group.kept_for_the_dead.get();
+            if group.most_connections.get().is_some_and(|most| held >= most) {
+                group.turned_away.set(group.turned_away.get() + 1);
+                let failure = Failure::new(FailureCode::TooManyConnections, "no room");
+                return Err(OpenError::Refused(failure));
+            }
+            group.opened.set(group.opened.get() + 1);
             let connection = self.group.next_connection.get();
             self.group.next_connection.set(connection + 1);
             member.connections.set(member.connections.get() + 1);
             let point = Some(self.group.point(member));
             let link = FakeTarget {
-                group: Rc::clone(&self.group),
+                group: Rc::clone(group),
                 member: Rc::clone(member),
                 instance: self.instance,
                 connection,
@@ -54,6 +62,9 @@
                 prepared: BTreeMap::new(),
                 broken: false,
             };
+            if group.open_ms.get() > 0 {
+                compio::time::sleep(Duration::from_millis(group.open_ms.get())).await;
+            }
             Ok(OpenedTarget { link: Box::new(link), point })
         }
         .boxed_local()
