Tell views to those that look at the group, and work out homes once a change of the members

Cause: each heartbeat to an instance that shares any group with the sender carried the views of all of the sender's groups, and any change of any group sent a round to everybody, 25 times a second where there are a hundred groups. Each look at the groups searched all targets for each target (slots of a group), and each change of what is believed of anybody, suspicions included, had all homes worked out anew, with the instances sorted by data centre for each group.

Change: a heartbeat carries the views of the groups in common; between rounds only those that look at a changed group are told. The members have a number of their own that grows only when they change, and are sorted by data centre once; slots are worked out once a change of the list; weights are hashed without writing names together.

--- a/crates/gullspar_direct/src/directory.rs
+++ b/crates/gullspar_direct/src/directory.rs
@@ -37,6 +37,8 @@
     /// doubted.
     doubted: RefCell<BTreeMap<MemberName, TargetSpec>>,
     doubted_until: Cell<Option<Instant>>,
+    /// What [`Directory::slots`] gives, worked out once a change of the targets.
+    slots: RefCell<Option<BTreeMap<GroupName, u32>>>,
     changed: Event,
 }
 
@@ -109,7 +111,7 @@
         }
         *targets = fresh;
         drop(targets);
-        self.changed.notify(usize::MAX);
+        self.targets_changed();
         true
     }
 
@@ -128,7 +130,7 @@
         let changed = targets.len() != before;
         drop(targets);
         if changed {
-            self.changed.notify(usize::MAX);
+            self.targets_changed();
         }
         next
     }
@@ -160,9 +162,22 @@
 
     /// Statements that a target of `group` runs at once; 0 if none is listed.
     pub fn slots(&self, group: &GroupName) -> u32 {
-        let targets = self.targets.borrow();
-        let of_group = targets.values().filter(|it| it.spec.group == *group);
-        of_group.map(|it| it.spec.slots).max().unwrap_or(0)
+        let mut slots = self.slots.borrow_mut();
+        let known = slots.get_or_insert_with(|| {
+            let mut slots: BTreeMap<GroupName, u32> = BTreeMap::new();
+            for spec in self.targets.borrow().values().map(|it| &it.spec) {
+                let most = slots.entry(spec.group.clone()).or_default();
+                *most = spec.slots.max(*most);
+            }
+            slots
+        });
+        known.get(group).copied().unwrap_or(0)
+    }
+
+    /// Tells that the targets are no longer what they were.
+    fn targets_changed(&self) {
+        self.slots.replace(None);
+        self.changed.notify(usize::MAX);
     }
 
     /// The list as it would be handed to another instance.
--- a/crates/gullspar_direct/src/heartbeat.rs
+++ b/crates/gullspar_direct/src/heartbeat.rs
@@ -33,6 +33,18 @@
     }
 }
 
+impl GroupView {
+    /// Whether this tells more than that time has passed.
+    pub(crate) fn differs_from(&self, old: &GroupView) -> bool {
+        let claim = |it: &GroupView| it.claim.as_ref().map(|it| (it.token, it.holder.clone()));
+        let acted = |it: &GroupView| it.claim.as_ref().map_or(u64::MAX, |it| it.age_ms);
+        (&self.leader, self.health) != (&old.leader, old.health)
+            || claim(self) != claim(old)
+            // Its holder has acted again.
+            || acted(self) < acted(old)
+    }
+}
+
 record! {
     /// One instance's news; it fits a datagram, and each replaces the one before.
     pub struct Heartbeat {
@@ -43,7 +55,7 @@
         pub store_age_ms: Option<u32>,
         /// How long ago the sender knew of a home in its data centre that reaches its leaders, itself included.
         pub home_age_ms: Option<u32>,
-        /// The groups that the sender looks at, for those that look at them too; others are told of none.
+        /// The groups that the sender and the receiver look at.
         pub views: Vec<GroupView>,
     }
 }
--- a/crates/gullspar_direct/src/heartbeats.rs
+++ b/crates/gullspar_direct/src/heartbeats.rs
@@ -1,65 +1,105 @@
 //! Telling other instances what this one knows, and taking what they tell.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use gullspar_border::{BootInstant, PeerError, within};
-use gullspar_membership::{Gossip, HEARTBEAT_EVERY, HEARTBEAT_SPACING, Member};
+use gullspar_membership::{Gossip, HEARTBEAT_EVERY, HEARTBEAT_SPACING};
 use gullspar_model::GroupName;
 
 use crate::news_source::NewsSource;
 use crate::proxy::SETTLE;
-use crate::{GroupView, Heartbeat, PeerMessage, Phase, Proxy, Snapshot, SnapshotRequest};
+use crate::{GroupView, Heartbeat, Members, PeerMessage, Phase, Proxy, Snapshot, SnapshotRequest};
 
 /// How long handing over a snapshot may take.
 const FETCH_WITHIN: Duration = Duration::from_millis(800);
 
+/// What was told last.
+#[derive(Default)]
+struct Told {
+    /// When all are told again.
+    next_round: Option<Instant>,
+    views: BTreeMap<GroupName, GroupView>,
+    catalogue_version: u64,
+}
+
 impl Proxy {
     pub(crate) async fn send_heartbeats(self: Rc<Self>) {
         let clock = Rc::clone(&self.borders.clock);
+        let mut told = Told::default();
         loop {
             let news = self.peers.listen();
-            self.send_round();
+            let known = self.directory.listen();
             let sent = clock.now();
+            let is_due = told.next_round.is_none_or(|it| sent >= it);
+            self.send_round(&mut told, is_due);
+            if is_due {
+                told.next_round = Some(sent + HEARTBEAT_EVERY);
+            }
+            let next_round = told.next_round.unwrap_or(sent);
             // What is passed on is passed on twice, so that one lost datagram matters to nobody.
             if !self.peers.has_news() {
                 let groups = self.groups();
                 let changed = futures::future::select_all(
-                    groups.iter().map(|it| it.listen()).chain([self.directory.listen(), news]),
+                    groups.iter().map(|it| it.listen()).chain([known, news]),
                 );
                 // A leader that fell silent is news: a promotion waits for the views of most instances.
-                let _ = within(&*clock, sent + HEARTBEAT_EVERY, changed).await;
+                let _ = within(&*clock, next_round, changed).await;
+            }
+            if self.directory.version() != told.catalogue_version {
+                told.next_round = None;
             }
             clock.sleep_until(sent + HEARTBEAT_SPACING).await;
         }
     }
 
-    /// Sends a heartbeat to all contacts, and to all that look at the same groups.
-    fn send_round(&self) {
+    /// Sends heartbeats: in a round that is due to all contacts and to all that look at the same groups, otherwise to
+    /// contacts if there is news to pass on, and of the others to those that look at a group that has changed.
+    ///
+    /// Of many groups there is always one that changes. Told to everybody each time, changes would take more of the links
+    /// than callers do.
+    fn send_round(&self, told: &mut Told, is_due: bool) {
         let now = self.borders.clock.boot_now();
         self.peers.set_leaving(self.shutdown.phase() != Phase::Serving);
         self.look_after_ledgers(now);
-        self.peers.keep_close(self.looking_at_same_groups(now), now);
-        let mut to: BTreeSet<SocketAddr> =
-            self.peers.begin_round(self.borders.entropy.next_u64(), now).into_iter().collect();
-        to.extend(self.peers.close());
         let views = self.views(now);
+        let changed: BTreeSet<GroupName> = views
+            .iter()
+            .filter(|it| told.views.get(&it.group).is_none_or(|old| it.differs_from(old)))
+            .map(|it| it.group.clone())
+            .collect();
+        if is_due || !changed.is_empty() {
+            self.peers.keep_close(self.looking_at_same_groups(), now);
+        }
+        let mut to: BTreeSet<SocketAddr> = BTreeSet::new();
+        if is_due || self.peers.has_news() {
+            to.extend(self.peers.begin_round(self.borders.entropy.next_u64(), now));
+        }
+        to.extend(self.peers.close(|groups| is_due || !groups.is_disjoint(&changed)));
         for address in to {
             let heartbeat = self.heartbeat(address, self.peers.gossip(address, now), &views, now);
             self.borders.peers.send(address, &PeerMessage::Heartbeat(heartbeat));
         }
+        told.catalogue_version = self.directory.version();
+        told.views = views.into_iter().map(|it| (it.group.clone(), it)).collect();
     }
 
-    /// Addresses of the homes of the groups that this instance looks at, and of whoever else said that it does.
+    /// Addresses of the homes of the groups that this instance looks at, and of whoever else said that it does, with the
+    /// groups in common.
     ///
     /// They decide on promotions together, and need each other's views at once.
-    fn looking_at_same_groups(&self, now: BootInstant) -> Vec<SocketAddr> {
-        let groups: Vec<GroupName> = self.groups().iter().map(|it| it.name.clone()).collect();
-        let mut addresses = self.peers.views.addresses_looking_at(&groups, now);
-        groups.iter().for_each(|it| addresses.extend(self.addresses_of_homes(it)));
-        addresses
+    fn looking_at_same_groups(&self) -> BTreeMap<SocketAddr, BTreeSet<GroupName>> {
+        let now = self.borders.clock.boot_now();
+        let mut looking: BTreeMap<SocketAddr, BTreeSet<GroupName>> = BTreeMap::new();
+        for group in self.groups() {
+            let addresses = self.peers.views.addresses_looking_at(&group.name, now);
+            for address in addresses.into_iter().chain(self.addresses_of_homes(&group.name)) {
+                looking.entry(address).or_default().insert(group.name.clone());
+            }
+        }
+        looking
     }
 
     fn views(&self, boot_now: BootInstant) -> Vec<GroupView> {
@@ -74,7 +114,8 @@
         views: &[GroupView],
         now: BootInstant,
     ) -> Heartbeat {
-        let views = if self.peers.is_close(to) { views.to_vec() } else { Vec::new() };
+        let common = self.peers.in_common(to);
+        let views = views.iter().filter(|it| common.contains(&it.group)).cloned().collect();
         Heartbeat {
             gossip,
             catalogue_version: self.directory.version(),
@@ -184,7 +225,7 @@
     }
 
     /// All instances that take work, this one included.
-    pub(crate) fn members(&self) -> Rc<Vec<Member>> {
+    pub(crate) fn members(&self) -> Rc<Members> {
         self.peers.members(self.borders.clock.boot_now())
     }
 }
--- a/crates/gullspar_direct/src/home_groups.rs
+++ b/crates/gullspar_direct/src/home_groups.rs
@@ -1,5 +1,6 @@
 //! The groups that this instance serves, their targets and its share of them.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -36,10 +37,11 @@
         }
         let now = self.borders.clock.now();
         let targets = self.directory.targets();
+        let listed: BTreeSet<_> = targets.iter().map(|it| (&it.group, &it.member)).collect();
         for group in self.groups() {
             for target in group.targets() {
                 let member = target.member();
-                if !targets.iter().any(|it| it.member == member && it.group == group.name) {
+                if !listed.contains(&(&group.name, &member)) {
                     group.remove(&member);
                 }
             }
--- a/crates/gullspar_direct/src/homes.rs
+++ b/crates/gullspar_direct/src/homes.rs
@@ -3,10 +3,9 @@
 //! A few instances can each hold their share of a target's connections. When a share would be less than two,
 //! only some of them do, the group's homes, and the others hand sessions on to them.
 
-use gullspar_membership::by_data_centre;
 use gullspar_model::{DataCentre, GroupName, InstanceId};
 
-use crate::{Member, admission_limit};
+use crate::{Member, Members, admission_limit};
 
 /// The least share of connections with which every instance connects itself: one for statements and one for
 /// a transaction beside it.
@@ -60,12 +59,11 @@
     group: &GroupName,
     allowance: Allowance,
     own: &DataCentre,
-    members: &[Member],
+    members: &Members,
 ) -> Option<Homes> {
-    let places = by_data_centre(members);
+    let places = members.by_data_centre();
     let each = homes_each(allowance, members.len(), places.len())?;
-    let near = places.get(own).cloned().unwrap_or_default();
-    let mut ranked = by_distance(group, near);
+    let mut ranked = by_distance(group, members.near(own));
     let count = if ranked.is_empty() { each } else { each.min(ranked.len()) };
     if ranked.len() < count + SPARE_HOMES {
         let far = members.iter().filter(|it| it.data_centre != *own);
@@ -73,7 +71,7 @@
     }
     ranked.truncate(count + SPARE_HOMES);
     let ranked = ranked.into_iter().cloned().collect();
-    let holders = places.values().map(|it| each.min(it.len())).sum();
+    let holders = places.map(|it| each.min(it.len())).sum();
     Some(Homes { ranked, count, holders })
 }
 
@@ -81,13 +79,13 @@
 pub(crate) fn everywhere<'a>(
     group: &GroupName,
     allowance: Allowance,
-    members: &'a [Member],
+    members: &'a Members,
 ) -> Vec<&'a Member> {
-    let places = by_data_centre(members);
+    let places = members.by_data_centre();
     let Some(each) = homes_each(allowance, members.len(), places.len()) else {
         return members.iter().collect();
     };
-    let homes = places.into_values().flat_map(|it| by_distance(group, it).into_iter().take(each));
+    let homes = places.flat_map(|it| by_distance(group, it).into_iter().take(each));
     homes.collect()
 }
 
@@ -113,5 +111,6 @@
 
 /// The weight that rendezvous hashing gives the instance `id` for what is called `name`.
 pub(crate) fn weight(name: &str, id: &InstanceId) -> u64 {
-    xxhash_rust::xxh3::xxh3_64(format!("{name}/{id}").as_bytes())
+    let seed = xxhash_rust::xxh3::xxh3_64(name.as_bytes());
+    xxhash_rust::xxh3::xxh3_64_with_seed(id.as_str().as_bytes(), seed)
 }
--- /dev/null
+++ b/crates/gullspar_direct/src/members.rs
@@ -0,0 +1,43 @@
+//! The instances that take work, worked out once for each change of them.
+
+use std::collections::BTreeMap;
+use std::ops::Deref;
+
+use gullspar_membership::{Member, by_data_centre};
+use gullspar_model::DataCentre;
+
+/// All of them, and those of each data centre.
+#[derive(Debug, Default)]
+pub struct Members {
+    all: Vec<Member>,
+    by_data_centre: BTreeMap<DataCentre, Vec<Member>>,
+}
+
+impl Members {
+    /// The instances `all`.
+    pub(crate) fn new(all: Vec<Member>) -> Members {
+        let owned = |it: Vec<&Member>| it.into_iter().cloned().collect();
+        let by_data_centre = by_data_centre(&all);
+        let by_data_centre =
+            by_data_centre.into_iter().map(|(place, it)| (place.clone(), owned(it))).collect();
+        Members { by_data_centre, all }
+    }
+
+    /// Those in `data_centre`.
+    pub(crate) fn near(&self, data_centre: &DataCentre) -> &[Member] {
+        self.by_data_centre.get(data_centre).map_or(&[], Vec::as_slice)
+    }
+
+    /// Those of each data centre.
+    pub(crate) fn by_data_centre(&self) -> impl ExactSizeIterator<Item = &[Member]> {
+        self.by_data_centre.values().map(Vec::as_slice)
+    }
+}
+
+impl Deref for Members {
+    type Target = [Member];
+
+    fn deref(&self) -> &[Member] {
+        &self.all
+    }
+}
--- a/crates/gullspar_direct/src/peer_table.rs
+++ b/crates/gullspar_direct/src/peer_table.rs
@@ -1,7 +1,7 @@
 //! The other instances, as far as they were heard.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,11 +9,11 @@
 use event_listener::{Event, EventListener};
 use gullspar_border::BootInstant;
 use gullspar_membership::{Gossip, Member, Membership, Taken};
-use gullspar_model::{InstanceId, Revision};
+use gullspar_model::{GroupName, InstanceId, Revision};
 
-use crate::Heartbeat;
 use crate::last_known::LastKnown;
 use crate::views::Views;
+use crate::{Heartbeat, Members};
 
 /// How long word of an instance that reaches the platform's store holds; it is passed on from contact to contact, and
 /// takes a heartbeat for each step.
@@ -26,17 +26,31 @@
 /// for as long as the dead count.
 const CLOSE_FOR: Duration = Duration::from_secs(2);
 
-/// What the members were that were last told of.
+/// A number that grows with each change of the members.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Epoch(u64);
+
+/// What the members follow from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Epoch {
+struct Basis {
     generation: u64,
     /// Whether instances that were not heard yet are among them.
     expecting: bool,
 }
 
+#[derive(Default)]
 struct CachedMembers {
+    /// `None` if they have to be collected anew.
+    basis: Option<Basis>,
     epoch: Epoch,
-    members: Rc<Vec<Member>>,
+    members: Rc<Members>,
+}
+
+/// An instance that is told what this one sees.
+struct Close {
+    /// The groups that both look at.
+    groups: BTreeSet<GroupName>,
+    until: BootInstant,
 }
 
 /// Who is there, and what they said.
@@ -45,13 +59,13 @@
     membership: RefCell<Membership>,
     pub(crate) views: Views,
     /// Instances that look at the same groups, and until when they are told each time.
-    close: RefCell<BTreeMap<SocketAddr, BootInstant>>,
+    close: RefCell<BTreeMap<SocketAddr, Close>>,
     store_known: LastKnown,
     home_known: LastKnown,
     /// Instances that are taken to work although they were not heard yet, and until when.
     expected: RefCell<Vec<Member>>,
     expected_until: Cell<Option<BootInstant>>,
-    cached: RefCell<Option<CachedMembers>>,
+    cached: RefCell<CachedMembers>,
     changed: Event,
 }
 
@@ -131,26 +145,29 @@
         self.membership.borrow_mut().answer(gossip, now)
     }
 
-    /// Tells the instances at `addresses` each time from now on, and some time longer.
+    /// Tells the instances that are `looking` at the same groups each time from now on, and some time longer.
     pub(crate) fn keep_close(
         &self,
-        addresses: impl IntoIterator<Item = SocketAddr>,
+        looking: BTreeMap<SocketAddr, BTreeSet<GroupName>>,
         now: BootInstant,
     ) {
         let mut close = self.close.borrow_mut();
-        close.retain(|_, until| now < *until);
+        close.retain(|_, it| now < it.until);
+        close.values_mut().for_each(|it| it.groups.clear());
         let until = now.plus(CLOSE_FOR);
-        let others = addresses.into_iter().filter(|it| *it != self.own.address);
-        close.extend(others.map(|it| (it, until)));
+        let others = looking.into_iter().filter(|(address, _)| *address != self.own.address);
+        close.extend(others.map(|(address, groups)| (address, Close { groups, until })));
     }
 
-    /// Instances that are told what this one sees of its groups.
-    pub(crate) fn close(&self) -> Vec<SocketAddr> {
-        self.close.borrow().keys().copied().collect()
+    /// The instances that are told what this one sees of its groups, of those whose common groups are `chosen`.
+    pub(crate) fn close(&self, chosen: impl Fn(&BTreeSet<GroupName>) -> bool) -> Vec<SocketAddr> {
+        let close = self.close.borrow();
+        close.iter().filter(|(_, it)| chosen(&it.groups)).map(|(address, _)| *address).collect()
     }
 
-    pub(crate) fn is_close(&self, address: SocketAddr) -> bool {
-        self.close.borrow().contains_key(&address)
+    /// The groups that this instance and the one at `address` look at.
+    pub(crate) fn in_common(&self, address: SocketAddr) -> BTreeSet<GroupName> {
+        self.close.borrow().get(&address).map(|it| it.groups.clone()).unwrap_or_default()
     }
 
     /// This instance reaches the platform's store.
@@ -195,36 +212,43 @@
     pub(crate) fn expect(&self, members: Vec<Member>, until: BootInstant) {
         *self.expected.borrow_mut() = members;
         self.expected_until.set(Some(until));
-        self.cached.replace(None);
+        self.cached.borrow_mut().basis = None;
     }
 
     /// Changes whenever the members do.
     pub(crate) fn epoch(&self, now: BootInstant) -> Epoch {
-        let expecting = self.expected_until.get().is_some_and(|until| now < until);
-        Epoch { generation: self.membership.borrow().generation(), expecting }
+        self.refresh(now);
+        self.cached.borrow().epoch
     }
 
     /// The instances that take work, this one included.
-    pub fn members(&self, now: BootInstant) -> Rc<Vec<Member>> {
-        let epoch = self.epoch(now);
-        let cached = self
-            .cached
-            .borrow()
-            .as_ref()
-            .filter(|it| it.epoch == epoch)
-            .map(|it| Rc::clone(&it.members));
-        if let Some(members) = cached {
-            return members;
+    pub fn members(&self, now: BootInstant) -> Rc<Members> {
+        self.refresh(now);
+        Rc::clone(&self.cached.borrow().members)
+    }
+
+    /// Collects the members anew if anything changed that they follow from.
+    ///
+    /// Most of what changes is who is suspected, and leaves the members as they are.
+    fn refresh(&self, now: BootInstant) {
+        let expecting = self.expected_until.get().is_some_and(|until| now < until);
+        let basis = Basis { generation: self.membership.borrow().generation(), expecting };
+        let mut cached = self.cached.borrow_mut();
+        if cached.basis == Some(basis) {
+            return;
+        }
+        cached.basis = Some(basis);
+        let members = self.collect_members(expecting);
+        if members[..] != cached.members[..] {
+            cached.epoch = Epoch(cached.epoch.0 + 1);
+            cached.members = Rc::new(Members::new(members));
         }
-        let members = Rc::new(self.collect_members(epoch));
-        self.cached.replace(Some(CachedMembers { epoch, members: Rc::clone(&members) }));
-        members
     }
 
-    fn collect_members(&self, epoch: Epoch) -> Vec<Member> {
+    fn collect_members(&self, expecting: bool) -> Vec<Member> {
         let membership = self.membership.borrow();
         let mut members: Vec<Member> = membership.members().cloned().collect();
-        if epoch.expecting {
+        if expecting {
             let expected = self.expected.borrow();
             members.extend(expected.iter().filter(|it| !membership.knows(&it.id)).cloned());
         }
--- a/crates/gullspar_direct/src/store_contact.rs
+++ b/crates/gullspar_direct/src/store_contact.rs
@@ -39,8 +39,7 @@
         if members.len() <= ALL_FOLLOW_UP_TO {
             return true;
         }
-        let mut near: Vec<&Member> =
-            members.iter().filter(|it| it.data_centre == self.own.data_centre).collect();
+        let mut near: Vec<&Member> = members.near(&self.own.data_centre).iter().collect();
         near.sort_by_key(|it| homes::weight(STORE_RANK, &it.id));
         near.iter().take(FOLLOWERS).any(|it| it.id == self.own.id)
     }
--- a/crates/gullspar_direct/src/views.rs
+++ b/crates/gullspar_direct/src/views.rs
@@ -55,15 +55,13 @@
         })
     }
 
-    /// Addresses of the instances that look at any of `groups`.
+    /// Addresses of the instances that look at `group`.
     pub(crate) fn addresses_looking_at(
         &self,
-        groups: &[GroupName],
+        group: &GroupName,
         now: BootInstant,
     ) -> Vec<SocketAddr> {
-        self.select(now, COUNTS_FOR, |it| {
-            it.views.iter().any(|it| groups.contains(&it.group)).then_some(it.address())
-        })
+        self.select(now, COUNTS_FOR, |it| it.view(group).map(|_| it.address()))
     }
 
     /// Whether `id` was heard lately.
