Give the direct path's files rooms that say where a decision lives

Cause: 60 files in one folder, of which a newcomer could not tell which belong together. Folders for sessions, reads, writes, targets, groups, the fleet and the configuration; files are moved and paths follow, nothing else.

--- /dev/null
+++ b/crates/gullspar_direct/src/configuration/mod.rs
@@ -0,0 +1,7 @@
+//! The configuration and the list of targets that this instance goes by, and where they come from.
+
+pub(crate) mod catalogue;
+pub(crate) mod directory;
+pub(crate) mod news_source;
+pub(crate) mod snapshot;
+pub(crate) mod store_contact;
--- a/crates/gullspar_direct/src/store_contact.rs
+++ b/crates/gullspar_direct/src/configuration/store_contact.rs
@@ -4,7 +4,8 @@
 
 use gullspar_border::jittered;
 
-use crate::{Member, Proxy, homes};
+use crate::fleet::homes;
+use crate::{Member, Proxy};
 
 /// Silence of the store after which the list of targets is taken from other instances.
 const STORE_SILENT_AFTER: Duration = Duration::from_secs(3);
--- a/crates/gullspar_direct/src/cut_off.rs
+++ b/crates/gullspar_direct/src/fleet/cut_off.rs
@@ -5,7 +5,7 @@
 
 use gullspar_model::NotRun;
 
-use crate::group::Group;
+use crate::groups::group::Group;
 use crate::{CutOff, Phase, Proxy, ROTATION, Route};
 
 /// Between two looks at who has fallen silent and whether this instance is cut off.
--- a/crates/gullspar_direct/src/heartbeats.rs
+++ b/crates/gullspar_direct/src/fleet/heartbeats.rs
@@ -9,7 +9,7 @@
 use gullspar_membership::{Gossip, HEARTBEAT_EVERY, HEARTBEAT_SPACING};
 use gullspar_model::GroupName;
 
-use crate::news_source::NewsSource;
+use crate::configuration::news_source::NewsSource;
 use crate::proxy::SETTLE;
 use crate::{GroupView, Heartbeat, Members, PeerMessage, Phase, Proxy, Snapshot, SnapshotRequest};
 
--- a/crates/gullspar_direct/src/home_groups.rs
+++ b/crates/gullspar_direct/src/fleet/home_groups.rs
@@ -8,15 +8,16 @@
 use gullspar_model::{GroupName, InstanceId};
 use gullspar_statement::TargetSpec;
 
-use crate::admission_limit::connection_share;
-use crate::failover;
-use crate::group::Group;
-use crate::homes::Allowance;
+use crate::fleet::homes::Allowance;
+use crate::groups::failover;
+use crate::groups::group::Group;
 use crate::proxy::SETTLE;
 use crate::stats::Levels;
-use crate::target::Target;
-use crate::target_watch;
-use crate::{CutOff, Member, Phase, Proxy, pacing};
+use crate::targets::admission_limit::connection_share;
+use crate::targets::pacing;
+use crate::targets::target::Target;
+use crate::targets::target_watch;
+use crate::{CutOff, Member, Phase, Proxy};
 
 /// How long a group is served for a session that was handed on to an instance that is not its home.
 const HOLD_FOR: Duration = Duration::from_secs(10);
--- a/crates/gullspar_direct/src/home_plan.rs
+++ b/crates/gullspar_direct/src/fleet/home_plan.rs
@@ -6,8 +6,8 @@
 use gullspar_model::GroupName;
 
 use crate::Proxy;
-use crate::homes::{self, Allowance, Homes};
-use crate::peer_table::Epoch;
+use crate::fleet::homes::{self, Allowance, Homes};
+use crate::fleet::peer_table::Epoch;
 
 /// The homes of one group and what they follow from.
 ///
--- a/crates/gullspar_direct/src/homes.rs
+++ b/crates/gullspar_direct/src/fleet/homes.rs
@@ -5,7 +5,8 @@
 
 use gullspar_model::{DataCentre, GroupName, InstanceId};
 
-use crate::{Member, Members, admission_limit};
+use crate::targets::admission_limit;
+use crate::{Member, Members};
 
 /// The least share of connections with which every instance connects itself: one for statements and one for
 /// a transaction beside it.
--- a/crates/gullspar_direct/src/limits.rs
+++ b/crates/gullspar_direct/src/fleet/limits.rs
@@ -14,8 +14,9 @@
 use gullspar_customer::{Ledger, LedgerHandover, Purse, Spending, TokenGrant, TokenRequest};
 use gullspar_model::{CustomerName, NotRun};
 
-use crate::peer_table::Epoch;
-use crate::{PeerMessage, Phase, Proxy, homes};
+use crate::fleet::homes;
+use crate::fleet::peer_table::Epoch;
+use crate::{PeerMessage, Phase, Proxy};
 
 /// How long the keeper of a ledger may take to answer before it is asked again.
 const ASK_WITHIN: Duration = Duration::from_millis(60);
--- a/crates/gullspar_direct/src/peer_table.rs
+++ b/crates/gullspar_direct/src/fleet/peer_table.rs
@@ -11,8 +11,8 @@
 use gullspar_membership::{Gossip, Member, Membership, Taken};
 use gullspar_model::{GroupName, InstanceId, Revision};
 
-use crate::last_known::LastKnown;
-use crate::views::Views;
+use crate::fleet::last_known::LastKnown;
+use crate::fleet::views::Views;
 use crate::{Heartbeat, Members};
 
 /// How long word of an instance that reaches the platform's store holds; it is passed on from contact to contact, and
--- a/crates/gullspar_direct/src/failover.rs
+++ b/crates/gullspar_direct/src/groups/failover.rs
@@ -6,12 +6,12 @@
 use gullspar_border::within;
 use gullspar_model::{InstanceId, MemberName};
 
-use crate::candidate::Candidate;
-use crate::failover_timing::{
+use crate::fleet::homes;
+use crate::groups::candidate::Candidate;
+use crate::groups::failover_timing::{
     FAILED_PAUSE, LEADERLESS_FOR, LOOK_EVERY, ORDER_TRIES, TAKES_EFFECT_WITHIN, TURN,
 };
-use crate::group::Group;
-use crate::homes;
+use crate::groups::group::Group;
 use crate::{
     Ballot, Borders, Claim, ClaimError, FencingToken, PeerTable, Phase, PromoteError, Shutdown,
     Verdict,
--- a/crates/gullspar_direct/src/group.rs
+++ b/crates/gullspar_direct/src/groups/group.rs
@@ -9,8 +9,8 @@
 use gullspar_border::BootInstant;
 use gullspar_model::{GroupName, LogPoint, MemberName, Term};
 
-use crate::failover_timing;
-use crate::target::Target;
+use crate::groups::failover_timing;
+use crate::targets::target::Target;
 use crate::{ClaimBook, GroupView, LeaderHealth, Reading, Readings};
 
 /// Who leads, as it said itself.
--- /dev/null
+++ b/crates/gullspar_direct/src/groups/mod.rs
@@ -0,0 +1,10 @@
+//! Groups of targets: who leads, and who is to lead next.
+
+pub(crate) mod candidate;
+pub(crate) mod claim_book;
+pub(crate) mod claims;
+pub(crate) mod failover;
+pub(crate) mod failover_timing;
+pub(crate) mod group;
+pub(crate) mod succession;
+pub(crate) mod votes;
--- a/crates/gullspar_direct/src/succession.rs
+++ b/crates/gullspar_direct/src/groups/succession.rs
@@ -9,10 +9,10 @@
 use gullspar_statement::TargetCommand;
 
 use crate::Claim;
-use crate::candidate::Candidate;
-use crate::failover::{Cause, Keeper};
-use crate::failover_timing::{ASK_WITHIN, CATCH_UP_WITHIN};
-use crate::target::Target;
+use crate::groups::candidate::Candidate;
+use crate::groups::failover::{Cause, Keeper};
+use crate::groups::failover_timing::{ASK_WITHIN, CATCH_UP_WITHIN};
+use crate::targets::target::Target;
 
 impl Keeper {
     /// The member to promote: the one whose log reaches furthest.
--- a/crates/gullspar_direct/src/proxy.rs
+++ b/crates/gullspar_direct/src/proxy.rs
@@ -9,10 +9,10 @@
 use gullspar_border::{BootInstant, within};
 use gullspar_model::{DataCentre, GroupName, InstanceId};
 
-use crate::discovery::Discovery;
-use crate::group::Group;
-use crate::home_plan::HomePlan;
-use crate::limits::Limits;
+use crate::fleet::discovery::Discovery;
+use crate::fleet::home_plan::HomePlan;
+use crate::fleet::limits::Limits;
+use crate::groups::group::Group;
 use crate::{Borders, CutOff, Directory, Member, PeerTable, Phase, Shutdown};
 
 /// Time after start in which a missing leader is not held against a group.
--- a/crates/gullspar_direct/src/placing.rs
+++ b/crates/gullspar_direct/src/reading/placing.rs
@@ -5,8 +5,8 @@
 
 use gullspar_model::{CustomerName, DataCentre, LogPoint, MemberName};
 
-use crate::group::Group;
-use crate::target::Target;
+use crate::groups::group::Group;
+use crate::targets::target::Target;
 
 /// What a target outside the own data centre is charged; about what the way there and back takes.
 const REMOTE_COST: Duration = Duration::from_millis(2);
--- a/crates/gullspar_direct/src/read_path.rs
+++ b/crates/gullspar_direct/src/reading/read_path.rs
@@ -12,13 +12,14 @@
 use gullspar_model::{LogPoint, MemberName, NotRun};
 use gullspar_statement::{Answer, Failure, TransactionStatus};
 
-use crate::attempt::{End, Surroundings};
-use crate::group::Group;
-use crate::placing::{self, Wanted};
-use crate::request::Request;
-use crate::target::Target;
-use crate::trace::Trace;
-use crate::{Freshness, Proxy, refusal};
+use crate::groups::group::Group;
+use crate::reading::placing::{self, Wanted};
+use crate::session::refusal;
+use crate::session::request::Request;
+use crate::session::trace::Trace;
+use crate::targets::attempt::{End, Surroundings};
+use crate::targets::target::Target;
+use crate::{Freshness, Proxy};
 
 /// Pause before a read looks again for a target when none can serve it.
 const LOOK_AGAIN: Duration = Duration::from_millis(25);
--- a/crates/gullspar_direct/src/caller_opening.rs
+++ b/crates/gullspar_direct/src/session/caller_opening.rs
@@ -7,10 +7,11 @@
     Answer, CallerLink, CallerLinkError, CallerMessage, Failure, FailureCode, TransactionStatus,
 };
 
-use crate::caller_session::{Session, no_such_service};
-use crate::opening::Opening;
-use crate::relay::{self, Relay};
-use crate::{HandedOn, Member, Proxy, Route, refusal};
+use crate::session::caller_session::{Session, no_such_service};
+use crate::session::opening::Opening;
+use crate::session::refusal;
+use crate::session::relay::{self, Relay};
+use crate::{HandedOn, Member, Proxy, Route};
 
 /// Serves one caller until it leaves or the instance ends.
 pub async fn serve_caller(proxy: Rc<Proxy>, link: Box<dyn CallerLink>) {
--- a/crates/gullspar_direct/src/caller_session.rs
+++ b/crates/gullspar_direct/src/session/caller_session.rs
@@ -10,13 +10,14 @@
     Statement, TransactionStatus,
 };
 
-use crate::confirmation::{Commit, Standing};
-use crate::group::Group;
-use crate::opening::Opening;
-use crate::request::{Body, Request};
-use crate::trace::{self, Trace};
-use crate::transaction::Transaction;
-use crate::{Phase, Proxy, Route, SessionValues, refusal};
+use crate::groups::group::Group;
+use crate::session::opening::Opening;
+use crate::session::refusal;
+use crate::session::request::{Body, Request};
+use crate::session::trace::{self, Trace};
+use crate::writing::confirmation::{Commit, Standing};
+use crate::writing::transaction::Transaction;
+use crate::{Phase, Proxy, Route, SessionValues};
 
 /// A read may be silent for this part of the callers' objective before a second target is asked.
 const PATIENCE_DIVISOR: u64 = 2;
--- a/crates/gullspar_direct/src/handed_on.rs
+++ b/crates/gullspar_direct/src/session/handed_on.rs
@@ -6,7 +6,7 @@
 use gullspar_model::{GroupName, record};
 
 use crate::Proxy;
-use crate::opening::Opening;
+use crate::session::opening::Opening;
 
 /// How long a home that is behind waits for the configuration of whoever handed a session on: a heartbeat and a fetch
 /// take 250 ms. The other one waits 400 ms before it tries the next home.
--- /dev/null
+++ b/crates/gullspar_direct/src/session/mod.rs
@@ -0,0 +1,12 @@
+//! Callers' sessions: how they open, where they are served, and how they end.
+
+pub(crate) mod caller_opening;
+pub(crate) mod caller_session;
+pub(crate) mod handed_on;
+pub(crate) mod opening;
+pub(crate) mod refusal;
+pub(crate) mod relay;
+pub(crate) mod request;
+pub(crate) mod session_values;
+pub(crate) mod shutdown;
+pub(crate) mod trace;
--- a/crates/gullspar_direct/src/opening.rs
+++ b/crates/gullspar_direct/src/session/opening.rs
@@ -4,7 +4,8 @@
 use gullspar_model::{CustomerName, ServiceName};
 use gullspar_statement::{CallerMessage, Failure};
 
-use crate::{Proxy, Route, refusal};
+use crate::session::refusal;
+use crate::{Proxy, Route};
 
 /// The service that a caller named, and its key.
 #[derive(Clone, Debug)]
--- a/crates/gullspar_direct/src/relay.rs
+++ b/crates/gullspar_direct/src/session/relay.rs
@@ -10,8 +10,9 @@
     Answer, CallerLink, CallerLinkError, CallerMessage, Failure, FailureCode, TransactionStatus,
 };
 
-use crate::opening::Opening;
-use crate::{HandedOn, Member, Phase, Proxy, refusal};
+use crate::session::opening::Opening;
+use crate::session::refusal;
+use crate::{HandedOn, Member, Phase, Proxy};
 
 /// How long opening a session at a home may take before the next one is tried: a few milliseconds, and
 /// more after a power loss, when all sessions open anew.
--- a/crates/gullspar_direct/src/request.rs
+++ b/crates/gullspar_direct/src/session/request.rs
@@ -9,7 +9,7 @@
 use gullspar_statement::{Definition, TargetCommand};
 
 use crate::Freshness;
-use crate::pooled_connection::PooledConnection;
+use crate::targets::pooled_connection::PooledConnection;
 
 /// What the target is to run.
 #[derive(Clone, Debug)]
--- a/crates/gullspar_direct/src/stats.rs
+++ b/crates/gullspar_direct/src/stats.rs
@@ -8,7 +8,7 @@
 
 use gullspar_statement::{Failure, FailureCode};
 
-use crate::trace::Trace;
+use crate::session::trace::Trace;
 
 /// Bounds of the latency histograms, in seconds; callers' objectives lie between 0.1 and 0.8.
 const SECONDS: [f64; 12] = [0.005, 0.01, 0.02, 0.04, 0.08, 0.12, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4];
--- a/crates/gullspar_direct/src/attempt.rs
+++ b/crates/gullspar_direct/src/targets/attempt.rs
@@ -9,10 +9,10 @@
 use gullspar_target::Permit;
 
 use crate::Borders;
-use crate::connection_pool::Lease;
-use crate::group::Group;
-use crate::request::Request;
-use crate::target::Target;
+use crate::groups::group::Group;
+use crate::session::request::Request;
+use crate::targets::connection_pool::Lease;
+use crate::targets::target::Target;
 
 /// How long opening or closing a transaction of our own around a read may take; targets answer it
 /// without a slot.
--- a/crates/gullspar_direct/src/connection_pool.rs
+++ b/crates/gullspar_direct/src/targets/connection_pool.rs
@@ -11,9 +11,9 @@
 use gullspar_model::{CustomerName, NotRun};
 use gullspar_statement::{FailureCode, OpenError, TargetDialer, TargetSpec};
 
-use crate::dial_pace::DialPace;
-use crate::idle_connections::{Idle, IdleConnections};
-use crate::pooled_connection::PooledConnection;
+use crate::targets::dial_pace::DialPace;
+use crate::targets::idle_connections::{Idle, IdleConnections};
+use crate::targets::pooled_connection::PooledConnection;
 use crate::{Borders, Stats};
 
 /// How long opening a connection may take, its handshake included.
--- a/crates/gullspar_direct/src/idle_connections.rs
+++ b/crates/gullspar_direct/src/targets/idle_connections.rs
@@ -7,7 +7,7 @@
 use arcstr::ArcStr;
 use gullspar_model::CustomerName;
 
-use crate::pooled_connection::PooledConnection;
+use crate::targets::pooled_connection::PooledConnection;
 
 /// How long a connection may lie idle if another one of its customer does as well, or if many do.
 const SURPLUS_IDLE: Duration = Duration::from_millis(800);
--- a/crates/gullspar_direct/src/pacing.rs
+++ b/crates/gullspar_direct/src/targets/pacing.rs
@@ -10,7 +10,7 @@
 
 use std::time::Duration;
 
-use crate::admission_limit;
+use crate::targets::admission_limit;
 
 /// A target is crowded while its statements take this many percent of what they take on the fastest of its group.
 ///
--- a/crates/gullspar_direct/src/target.rs
+++ b/crates/gullspar_direct/src/targets/target.rs
@@ -9,9 +9,10 @@
 use gullspar_statement::TargetSpec;
 use gullspar_target::{Admission, Permit};
 
-use crate::connection_pool::ConnectionPool;
-use crate::request::Request;
-use crate::{Borders, Stats, pacing};
+use crate::session::request::Request;
+use crate::targets::connection_pool::ConnectionPool;
+use crate::targets::pacing;
+use crate::{Borders, Stats};
 
 /// Checks in a row without an answer after which a target counts as dark.
 ///
--- a/crates/gullspar_direct/src/target_watch.rs
+++ b/crates/gullspar_direct/src/targets/target_watch.rs
@@ -8,8 +8,8 @@
 use gullspar_statement::{FailureCode, TargetCommand, TransactionStatus};
 
 use crate::Borders;
-use crate::group::Group;
-use crate::target::Target;
+use crate::groups::group::Group;
+use crate::targets::target::Target;
 
 /// Between two checks of a leader; sets how soon a failure shows and how old readings get.
 const LEADER_EVERY: Duration = Duration::from_millis(150);
--- a/crates/gullspar_direct/src/confirmation.rs
+++ b/crates/gullspar_direct/src/writing/confirmation.rs
@@ -10,9 +10,9 @@
 use gullspar_border::{BootInstant, within};
 use gullspar_model::{LogPoint, MemberName};
 
-use crate::group::Group;
-use crate::target::Target;
-use crate::target_watch;
+use crate::groups::group::Group;
+use crate::targets::target::Target;
+use crate::targets::target_watch;
 use crate::{Borders, Proxy};
 
 /// How long a write waits for a replica.
--- a/crates/gullspar_direct/src/transaction.rs
+++ b/crates/gullspar_direct/src/writing/transaction.rs
@@ -10,13 +10,14 @@
 use gullspar_model::{Access, MemberName, NotRun};
 use gullspar_statement::{Answer, Failure, FailureCode, TargetCommand, TransactionStatus};
 
-use crate::attempt::{End, Surroundings};
-use crate::connection_pool::Lease;
-use crate::group::Group;
-use crate::read_path::Place;
-use crate::request::Request;
-use crate::trace::Trace;
-use crate::{Freshness, Proxy, refusal};
+use crate::groups::group::Group;
+use crate::reading::read_path::Place;
+use crate::session::refusal;
+use crate::session::request::Request;
+use crate::session::trace::Trace;
+use crate::targets::attempt::{End, Surroundings};
+use crate::targets::connection_pool::Lease;
+use crate::{Freshness, Proxy};
 
 /// Pause before the target that holds a transaction is asked again after it was too busy.
 const BUSY_PAUSE: Duration = Duration::from_millis(15);
--- a/crates/gullspar_direct/src/write_path.rs
+++ b/crates/gullspar_direct/src/writing/write_path.rs
@@ -7,13 +7,14 @@
 use gullspar_model::NotRun;
 use gullspar_statement::{Answer, TransactionStatus};
 
-use crate::attempt::{End, Surroundings};
-use crate::group::Group;
-use crate::read_path::Place;
-use crate::request::Request;
-use crate::target::Target;
-use crate::trace::Trace;
-use crate::{Proxy, refusal};
+use crate::Proxy;
+use crate::groups::group::Group;
+use crate::reading::read_path::Place;
+use crate::session::refusal;
+use crate::session::request::Request;
+use crate::session::trace::Trace;
+use crate::targets::attempt::{End, Surroundings};
+use crate::targets::target::Target;
 
 /// Pause before a write that the leader was too busy for is tried again.
 const BUSY_PAUSE: Duration = Duration::from_millis(15);
