--- a/crates/gullspar_direct/tests/customers.rs
+++ b/crates/gullspar_direct/tests/customers.rs
@@ -44,6 +44,18 @@
     proxy
 }
 
+/// Four instances that have known each other for long enough to lend.
+async fn four(world: &World, holders: &[(&str, &str, Option<RateLimit>)]) -> Vec<Rc<Proxy>> {
+    let configuration = || with_customers(2, 60, holders);
+    let start = |it| world.instance_as(member(it), configuration());
+    let proxies: Vec<Rc<Proxy>> = (1..=4).map(start).collect();
+    for proxy in &proxies {
+        world.settle(proxy).await;
+    }
+    pause(2500).await;
+    proxies
+}
+
 async fn open(proxy: &Rc<Proxy>, service: &str, key: &str) -> FakeCaller {
     let (caller, link) = FakeCaller::new();
     let serve = gullspar_direct::serve_caller(Rc::clone(proxy), Box::new(link));
@@ -243,13 +255,7 @@
     run(async {
         let world = World::new();
         let holders = [("key-a", "abbey", limit(40, 10))];
-        let proxies: Vec<Rc<Proxy>> = (1..=4)
-            .map(|it| world.instance_as(member(it), with_customers(2, 60, &holders)))
-            .collect();
-        for proxy in &proxies {
-            world.settle(proxy).await;
-        }
-        pause(2500).await;
+        let proxies = four(&world, &holders).await;
         let before = world.group.ran().len();
         let mut asking = Vec::new();
         for proxy in &proxies {
@@ -277,13 +283,7 @@
     run(async {
         let world = World::new();
         let holders = [("key-a", "abbey", limit(100, 100))];
-        let proxies: Vec<Rc<Proxy>> = (1..=4)
-            .map(|it| world.instance_as(member(it), with_customers(2, 60, &holders)))
-            .collect();
-        for proxy in &proxies {
-            world.settle(proxy).await;
-        }
-        pause(2500).await;
+        let proxies = four(&world, &holders).await;
         let caller = open(&proxies[0], BOUNDED, "key-a").await;
         for _ in 0..40 {
             caller.done("READ slot").await;
