Believe entries that came back with an older copy once their time for doubts is over

Cause, found by reading: a target that was doubted after the store's return was looked at again only with the next list; where its entry changed in nothing but its count no list came, and it was never used. Now the time itself brings it back if it is still listed. The test fails before (2 targets, 3 wanted) and passes.

--- a/crates/gullspar_direct/src/configuration/directory.rs
+++ b/crates/gullspar_direct/src/configuration/directory.rs
@@ -71,6 +71,7 @@
         let doubts = self.doubted_until.get().is_some_and(|until| now < until);
         let mut targets = self.targets.borrow_mut();
         let mut doubted = self.doubted.borrow_mut();
+        let doubted_before = std::mem::take(&mut *doubted);
         let mut fresh: BTreeMap<MemberName, Listed> = BTreeMap::new();
         let mut outdated = BTreeSet::new();
         for spec in list.targets {
@@ -84,17 +85,15 @@
             }
             if known.is_none() && doubts {
                 // Of a target that may have left since the copy was made.
-                let first = doubted.entry(spec.member.clone()).or_insert_with(|| spec.clone());
-                if !spec.is_after(first) {
+                let first = doubted_before.get(&spec.member);
+                if first.is_none_or(|it| !spec.is_after(it)) {
+                    doubted.insert(spec.member.clone(), first.cloned().unwrap_or(spec));
                     continue;
                 }
             }
             let listed = Listed { spec: Rc::new(spec), gone_at: None };
             fresh.insert(listed.spec.member.clone(), listed);
         }
-        if !doubts {
-            doubted.clear();
-        }
         for (member, old) in std::mem::take(&mut *targets) {
             if fresh.contains_key(&member) {
                 continue;
@@ -115,8 +114,10 @@
         true
     }
 
-    /// Drops targets whose grace has passed; gives the time of the next to look at.
+    /// Drops targets whose grace has passed, and believes those that were doubted for long enough; gives the time of the
+    /// next to look at.
     pub fn drop_lapsed(&self, now: Instant) -> Option<Instant> {
+        let believed = self.believe_doubted(now);
         let mut targets = self.targets.borrow_mut();
         let before = targets.len();
         targets.retain(|member, it| {
@@ -126,8 +127,9 @@
             }
             keep
         });
-        let next = targets.values().filter_map(|it| it.gone_at).min();
-        let changed = targets.len() != before;
+        let next =
+            targets.values().filter_map(|it| it.gone_at).chain(self.doubted_until.get()).min();
+        let changed = targets.len() != before || believed;
         drop(targets);
         if changed {
             self.targets_changed();
@@ -135,6 +137,20 @@
         next
     }
 
+    /// Takes the entries that are still listed when the time for doubts is over; tells whether there were any.
+    fn believe_doubted(&self, now: Instant) -> bool {
+        if self.doubted_until.get().is_none_or(|until| now < until) {
+            return false;
+        }
+        self.doubted_until.set(None);
+        let doubted = self.doubted.take();
+        let any = !doubted.is_empty();
+        let listed = |spec| Listed { spec: Rc::new(spec), gone_at: None };
+        let believed = doubted.into_iter().map(|(member, spec)| (member, listed(spec)));
+        self.targets.borrow_mut().extend(believed);
+        any
+    }
+
     /// The configuration in force.
     pub fn catalogue(&self) -> Option<Rc<Catalogue>> {
         self.catalogue.borrow().clone()
--- a/crates/gullspar_direct/tests/knowledge.rs
+++ b/crates/gullspar_direct/tests/knowledge.rs
@@ -278,8 +278,17 @@
     let other = Directory::default();
     other.apply_targets(list(1, 90, &all[..2]), now);
     other.apply_targets(list(2, 50, &all), now);
-    other.apply_targets(list(2, 60, &all), now + Duration::from_millis(2100));
+    other.drop_lapsed(now + Duration::from_millis(1900));
+    assert_eq!(other.targets().len(), 2, "it is still doubted");
+    other.drop_lapsed(now + Duration::from_millis(2100));
     assert_eq!(other.targets().len(), 3, "it is listed for longer than those that left");
+
+    let third = Directory::default();
+    third.apply_targets(list(1, 90, &all[..2]), now);
+    third.apply_targets(list(2, 50, &all), now);
+    third.apply_targets(list(2, 51, &all[..2]), now + Duration::from_millis(1500));
+    third.drop_lapsed(now + Duration::from_millis(2100));
+    assert_eq!(third.targets().len(), 2, "it had left");
 }
 
 /// Guards against a turn inside the lease of a holder whose claim the copy lacks.
