--- a/crates/gullspar_direct/src/fleet/discovery.rs
+++ b/crates/gullspar_direct/src/fleet/discovery.rs
@@ -66,10 +66,10 @@
         self.expect(found.unwrap_or_default());
         self.discovery.finish();
         self.tend_groups();
-        let mut era = self.directory.target_revision().era;
+        let mut era = None;
         loop {
-            let known = self.directory.target_revision().era;
-            if known > era {
+            let known = self.directory.known_era();
+            if era.is_some() && known > era {
                 // The older copy may lack this instance. Not all write at once.
                 entered = false;
                 let spread = ENTER_SPACING * self.members().len() as u32;
