Name the parts of a limit in the field's words

Quota, owner, lease, grant and grace in place of ledger, keeper, purse, lending and coasting; nothing else changes.

--- a/crates/gullspar_customer/src/purse.rs
+++ b/crates/gullspar_customer/src/leased_tokens.rs
@@ -6,26 +6,26 @@
 
 use crate::TokenGrant;
 
-/// How long lent tokens may be spent; afterwards they are worth nothing, and are not missed at their keeper.
+/// How long granted tokens may be spent; afterwards they are worth nothing, and are not missed at their owner.
 const SPEND_WITHIN: Duration = Duration::from_millis(250);
 
 /// Time over which the rate of operations is averaged.
 const RATE_OVER: Duration = Duration::from_secs(2);
 
-/// How long operations go on at the usual rate while nobody lends: until a keeper that is silent is known to be dead, and
-/// its successor lends.
-const COAST_FOR: Duration = Duration::from_millis(2500);
+/// How long operations go on at the usual rate while nobody grants any: until an owner that is silent is known to be dead, and
+/// its successor grants.
+const GRACE: Duration = Duration::from_millis(2500);
 
 /// How long, for a customer that was at its limit lately.
-const COAST_AT_LIMIT_FOR: Duration = Duration::from_secs(1);
+const GRACE_AT_LIMIT: Duration = Duration::from_secs(1);
 
 /// How long after it was at its limit a customer is likely to be there still.
 const AT_LIMIT_FOR: Duration = Duration::from_secs(5);
 
-/// Time in which what was spent while nobody lent may be spent again.
-const COAST_AGAIN_AFTER: Duration = Duration::from_secs(10);
+/// Time in which what was spent while nobody granted any may be spent again.
+const GRACE_REGAINED_IN: Duration = Duration::from_secs(10);
 
-/// The longest time for which an empty ledger is not asked again.
+/// The longest time for which an empty quota is not asked again.
 const MOST_PAUSE: Duration = Duration::from_millis(500);
 
 /// What becomes of an operation.
@@ -35,41 +35,41 @@
     Granted,
     /// The customer is at its limit; the time after which to come back.
     Exhausted { retry_after: Duration },
-    /// The keeper has to be asked.
+    /// The owner has to be asked.
     Unfunded,
 }
 
-/// Tokens that were lent to this instance, and how it goes on while nobody lends.
+/// Tokens that were granted to this instance, and how it goes on while nobody grants any.
 ///
-/// Waiting for the keeper at each operation would cost a round trip; so tokens are lent for the operations of the next
-/// moment as well. What is not spent soon is lost, so that tokens lent before a cut are not spent long after it.
+/// Waiting for the owner at each operation would cost a round trip; so tokens are granted for the operations of the next
+/// moment as well. What is not spent soon is lost, so that tokens granted before a cut are not spent long after it.
 #[derive(Clone, Debug)]
-pub struct Purse {
+pub struct LeasedTokens {
     tokens: u32,
     expires_at: BootInstant,
     exhausted_until: Option<BootInstant>,
-    /// When its keeper last had no token for it.
+    /// When its owner last had no token for it.
     exhausted_at: Option<BootInstant>,
     /// Operations a second of late, and when that was worked out.
     rate: f64,
     rated_at: BootInstant,
-    /// The part left of the operations that may run while nobody lends.
-    coast_left: f64,
-    coasted_at: BootInstant,
+    /// The part left of the operations that may run while nobody grants any.
+    grace_left: f64,
+    grace_spent_at: BootInstant,
 }
 
-impl Purse {
-    /// A purse that nothing was lent to.
-    pub fn new(now: BootInstant) -> Purse {
-        Purse {
+impl LeasedTokens {
+    /// No tokens yet.
+    pub fn new(now: BootInstant) -> LeasedTokens {
+        LeasedTokens {
             tokens: 0,
             expires_at: now,
             exhausted_until: None,
             exhausted_at: None,
             rate: 0.0,
             rated_at: now,
-            coast_left: 1.0,
-            coasted_at: now,
+            grace_left: 1.0,
+            grace_spent_at: now,
         }
     }
 
@@ -94,7 +94,7 @@
         self.tokens = self.tokens.saturating_sub(1);
     }
 
-    /// Takes what the keeper lent.
+    /// Takes what the owner granted.
     pub fn take(&mut self, grant: &TokenGrant, now: BootInstant) {
         if now >= self.expires_at {
             self.tokens = 0;
@@ -110,23 +110,23 @@
         });
     }
 
-    /// Lets an operation run although nobody lends, as far as such operations go.
+    /// Lets an operation run although nobody grants any, as far as such operations go.
     ///
-    /// The keeper may be gone or cut off. Its successor lends nothing for a second, in which instances go on at the rate
-    /// that they had; together that is no more than the customer was lent before.
-    pub fn coast(&mut self, now: BootInstant) -> bool {
+    /// The owner may be gone or cut off. Its successor grants nothing for a second, in which instances go on at the rate
+    /// that they had; together that is no more than the customer was granted before.
+    pub fn spend_in_grace(&mut self, now: BootInstant) -> bool {
         let at_limit = self.exhausted_at.is_some_and(|at| now.since(at) < AT_LIMIT_FOR);
-        let time = if at_limit { COAST_AT_LIMIT_FOR } else { COAST_FOR };
+        let time = if at_limit { GRACE_AT_LIMIT } else { GRACE };
         let allowed = (self.rate * time.as_secs_f64()).max(1.0);
-        let passed = now.since(self.coasted_at).as_secs_f64();
-        let regained = passed / COAST_AGAIN_AFTER.as_secs_f64();
-        self.coast_left = (self.coast_left + regained).min(1.0);
-        self.coasted_at = now;
+        let passed = now.since(self.grace_spent_at).as_secs_f64();
+        let regained = passed / GRACE_REGAINED_IN.as_secs_f64();
+        self.grace_left = (self.grace_left + regained).min(1.0);
+        self.grace_spent_at = now;
         let one = 1.0 / allowed;
-        if self.coast_left < one {
+        if self.grace_left < one {
             return false;
         }
-        self.coast_left -= one;
+        self.grace_left -= one;
         true
     }
 
@@ -154,7 +154,7 @@
 
     /// Whether nothing was spent for so long that nothing is left to know.
     pub fn is_idle(&self, now: BootInstant) -> bool {
-        now.since(self.rated_at) > COAST_AGAIN_AFTER
-            && now.since(self.coasted_at) > COAST_AGAIN_AFTER
+        now.since(self.rated_at) > GRACE_REGAINED_IN
+            && now.since(self.grace_spent_at) > GRACE_REGAINED_IN
     }
 }
--- a/crates/gullspar_customer/src/ledger.rs
+++ b/crates/gullspar_customer/src/owned_quotas.rs
@@ -6,43 +6,43 @@
 use gullspar_border::BootInstant;
 use gullspar_model::CustomerName;
 
-use crate::{LedgerHandover, RateLimit, TokenBucket, TokenGrant, TokenRequest};
+use crate::{QuotaHandover, RateLimit, TokenBucket, TokenGrant, TokenRequest};
 
-/// How long an instance that has become the keeper of a ledger lends nothing from it: until all have heard of the change,
-/// its predecessor may still lend.
+/// How long an instance that has become the owner of a quota grants nothing from it: until all have heard of the change,
+/// its predecessor may still grant.
 pub const SETTLE_FOR: Duration = Duration::from_secs(1);
 
-/// One ledger for each customer that asked here.
+/// One quota for each customer that asked here.
 ///
-/// A new ledger begins empty at the moment at which this instance may have become its keeper. Begun full, a customer could
-/// have its burst again each time that the keeper changes, and from all of its keepers after a power loss.
+/// A new quota begins empty at the moment at which this instance may have become its owner. Begun full, a customer could
+/// have its burst again each time that the owner changes, and from all of its owners after a power loss.
 #[derive(Debug, Default)]
-pub struct Ledger {
+pub struct OwnedQuotas {
     entries: BTreeMap<CustomerName, Entry>,
 }
 
 #[derive(Debug)]
 struct Entry {
     bucket: TokenBucket,
-    /// When this instance is surely the only keeper.
+    /// When this instance is surely the only owner.
     opens_at: BootInstant,
 }
 
-impl Ledger {
-    /// Lends tokens by `limit`.
+impl OwnedQuotas {
+    /// Grants tokens by `limit`.
     ///
-    /// `keeper_since` is when this instance may have become the keeper; `part` is the part of the fleet that it speaks
-    /// for, so that two sides of a cut do not lend more together than the whole.
-    pub fn lend(
+    /// `owner_since` is when this instance may have become the owner; `part` is the part of the fleet that it speaks
+    /// for, so that two sides of a cut do not grant more together than the whole.
+    pub fn grant(
         &mut self,
         req: &TokenRequest,
         limit: RateLimit,
-        keeper_since: BootInstant,
+        owner_since: BootInstant,
         part: f64,
         now: BootInstant,
     ) -> TokenGrant {
         let begin = || {
-            let opens_at = keeper_since.plus(SETTLE_FOR);
+            let opens_at = owner_since.plus(SETTLE_FOR);
             Entry { bucket: TokenBucket::empty_since(limit, opens_at, now), opens_at }
         };
         let entry = self.entries.entry(req.customer.clone()).or_insert_with(begin);
@@ -60,19 +60,19 @@
         }
     }
 
-    /// Closes the ledgers that `is_kept` no longer holds for; gives what their next keepers go on with.
-    pub fn close(&mut self, is_kept: impl Fn(&CustomerName) -> bool) -> Vec<LedgerHandover> {
+    /// Closes the quotas that `is_kept` no longer holds for; gives what their next owners go on with.
+    pub fn close(&mut self, is_kept: impl Fn(&CustomerName) -> bool) -> Vec<QuotaHandover> {
         let closed = self.entries.extract_if(.., |customer, _| !is_kept(customer));
         closed
-            .map(|(customer, entry)| LedgerHandover {
+            .map(|(customer, entry)| QuotaHandover {
                 customer,
                 thousandths: entry.bucket.thousandths(),
             })
             .collect()
     }
 
-    /// Goes on where the keeper before ended; there is nothing to wait for then.
-    pub fn take_over(&mut self, handover: &LedgerHandover, limit: RateLimit, now: BootInstant) {
+    /// Goes on where the owner before ended; there is nothing to wait for then.
+    pub fn take_over(&mut self, handover: &QuotaHandover, limit: RateLimit, now: BootInstant) {
         let bucket = TokenBucket::with(limit, handover.thousandths, now);
         let known = self.entries.get(&handover.customer);
         if known.is_none_or(|it| now < it.opens_at) {
--- a/crates/gullspar_customer/tests/limits.rs
+++ b/crates/gullspar_customer/tests/limits.rs
@@ -45,7 +45,7 @@
 #[test_case(295, 120, 40, 1.0; "295 instances")]
 fn a_customer_below_its_limit_is_served(size: usize, homes: usize, per_s: u64, skew: f64) {
     for seed in 1..=5 {
-        let mut fleet = Fleet::new(size, homes, seed, Policy::Lent).skewed(skew);
+        let mut fleet = Fleet::new(size, homes, seed, Policy::Leased).skewed(skew);
         fleet.set_limit(per_s, per_s);
         fleet.run(20 * S, per_s as f64 * USUAL);
         let refused = refused_percent(&fleet);
@@ -64,7 +64,7 @@
 #[test_case(295, 120, 40)]
 fn a_hot_customer_is_kept_to_its_limit_and_gets_all_of_it(size: usize, homes: usize, per_s: u64) {
     for seed in 1..=5 {
-        let mut fleet = Fleet::new(size, homes, seed, Policy::Lent);
+        let mut fleet = Fleet::new(size, homes, seed, Policy::Leased);
         fleet.set_limit(per_s, per_s);
         fleet.run(10 * S, per_s as f64 * USUAL);
         let before = fleet.ran.len();
@@ -77,17 +77,17 @@
     }
 }
 
-/// Guards against two sides of a cut, or keepers that follow each other, that lend more together than the limit.
+/// Guards against two sides of a cut, or owners that follow each other, that grant more together than the limit.
 #[test_case(&[(5, Event::Cut { percent: 25 }), (11, Event::Heal)]; "a data centre is cut off")]
-#[test_case(&[(5, Event::KillKeeper), (7, Event::KillKeeper), (9, Event::KillKeeper)]; "keepers die one after the other")]
+#[test_case(&[(5, Event::KillOwner), (7, Event::KillOwner), (9, Event::KillOwner)]; "owners die one after the other")]
 #[test_case(&[(4, Event::Leave(0)), (5, Event::Leave(1)), (6, Event::Leave(2)), (7, Event::Leave(3))]; "instances leave in turn")]
 #[test_case(&[(6, Event::PowerLoss)]; "all lose power")]
-#[test_case(&[(5, Event::Cut { percent: 25 }), (7, Event::KillKeeper), (9, Event::Heal), (10, Event::PowerLoss)]; "a cut, a death and a power loss")]
+#[test_case(&[(5, Event::Cut { percent: 25 }), (7, Event::KillOwner), (9, Event::Heal), (10, Event::PowerLoss)]; "a cut, a death and a power loss")]
 fn a_hot_customer_is_kept_to_its_limit_through_trouble(events: &[(u64, Event)]) {
     for (seed, per_s) in (1..=6).flat_map(|seed| [(seed, 5), (seed, 40), (seed, 200)]) {
         // It sends much all the while, or begins to before, at and after the first event.
         for usual_for in [0, 3, 5, 7] {
-            let mut fleet = Fleet::new(68, 32, seed, Policy::Lent);
+            let mut fleet = Fleet::new(68, 32, seed, Policy::Leased);
             fleet.set_limit(per_s, per_s);
             fleet.plan(events);
             fleet.run(usual_for * S, per_s as f64 * USUAL);
@@ -99,11 +99,11 @@
 }
 
 /// Guards against refusing a customer that keeps to its limit for long, since whoever counts for it is gone.
-#[test_case(&[(5, Event::KillKeeper)], 12.0; "its keeper dies")]
+#[test_case(&[(5, Event::KillOwner)], 12.0; "its owner dies")]
 #[test_case(&[(4, Event::Leave(0)), (5, Event::Leave(1)), (6, Event::Leave(2)), (7, Event::Leave(3))], 2.0; "instances leave in turn")]
 fn a_customer_below_its_limit_is_hardly_refused_in_trouble(events: &[(u64, Event)], percent: f64) {
     for seed in 1..=6 {
-        let mut fleet = Fleet::new(68, 32, seed, Policy::Lent);
+        let mut fleet = Fleet::new(68, 32, seed, Policy::Leased);
         fleet.set_limit(100, 100);
         fleet.plan(events);
         fleet.run(16 * S, 100.0 * USUAL);
@@ -116,7 +116,7 @@
 #[test]
 fn a_far_lower_limit_binds_within_a_window() {
     for seed in 1..=5 {
-        let mut fleet = Fleet::new(68, 32, seed, Policy::Lent);
+        let mut fleet = Fleet::new(68, 32, seed, Policy::Leased);
         fleet.set_limit(200, 200);
         fleet.run(8 * S, 125.0);
         fleet.set_limit(20, 20);
@@ -128,11 +128,11 @@
     }
 }
 
-/// Compares lending with an even share for each instance, on the same plays.
+/// Compares leasing with an even share for each instance, on the same plays.
 ///
 /// Prints what is refused below the limit; even shares refuse a good part of what a small customer may have run.
 #[test]
-fn lending_refuses_less_below_the_limit_than_even_shares() {
+fn leasing_refuses_less_below_the_limit_than_even_shares() {
     for (per_s, skew) in [(5, 1.0), (40, 1.0), (200, 1.0), (40, 8.0)] {
         let refused = |policy| {
             let mut fleet = Fleet::new(68, 32, 1, policy).skewed(skew);
@@ -140,10 +140,10 @@
             fleet.run(30 * S, per_s as f64 * USUAL);
             refused_percent(&fleet)
         };
-        let (lent, even) = (refused(Policy::Lent), refused(Policy::EvenShares));
+        let (granted, even) = (refused(Policy::Leased), refused(Policy::EvenShares));
         println!(
-            "{per_s} a second, skew {skew}: {lent:.2} percent refused, {even:.2} with even shares"
+            "{per_s} a second, skew {skew}: {granted:.2} percent refused, {even:.2} with even shares"
         );
-        assert!(lent <= even);
+        assert!(granted <= even);
     }
 }
--- a/crates/gullspar_customer/tests/support/mod.rs
+++ b/crates/gullspar_customer/tests/support/mod.rs
@@ -9,7 +9,7 @@
 
 use gullspar_border::BootInstant;
 use gullspar_customer::{
-    Ledger, LedgerHandover, Purse, RateLimit, Spending, TokenGrant, TokenRequest,
+    LeasedTokens, OwnedQuotas, QuotaHandover, RateLimit, Spending, TokenGrant, TokenRequest,
 };
 use gullspar_model::CustomerName;
 use random::Random;
@@ -31,7 +31,7 @@
 
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum Policy {
-    Lent,
+    Leased,
     /// Each home has an even part of the limit.
     EvenShares,
 }
@@ -43,8 +43,8 @@
         percent: usize,
     },
     Heal,
-    /// The instance that most take for the keeper dies; another takes its place at once.
-    KillKeeper,
+    /// The instance that most take for the owner dies; another takes its place at once.
+    KillOwner,
     /// An instance leaves, and is back a second later.
     Leave(usize),
     PowerLoss,
@@ -56,8 +56,8 @@
     /// Whom it takes for members, by number.
     members: Vec<bool>,
     changed_at: u64,
-    ledger: Ledger,
-    purse: Purse,
+    quota: OwnedQuotas,
+    leased: LeasedTokens,
     even: f64,
     waiting: VecDeque<Waiting>,
     asked_at: Option<u64>,
@@ -181,15 +181,15 @@
                 self.nodes.iter_mut().for_each(|it| it.side = 0);
                 self.learn_of_sides(NEWS_KNOWN);
             }
-            Event::KillKeeper => {
-                let keeper = self.keeper_for(self.homes[0]);
-                self.begin_anew(keeper);
-                self.nodes[keeper].is_up = false;
-                self.tell_all(keeper, false, DEATH_KNOWN);
+            Event::KillOwner => {
+                let owner = self.owner_for(self.homes[0]);
+                self.begin_anew(owner);
+                self.nodes[owner].is_up = false;
+                self.tell_all(owner, false, DEATH_KNOWN);
             }
             Event::Leave(number) => {
                 self.nodes[number].members[number] = false;
-                self.look_after_ledger(number);
+                self.hand_over_quota(number);
                 self.tell_all(number, false, NEWS_KNOWN);
                 let back = (S + NEWS_KNOWN.0, S + NEWS_KNOWN.1);
                 self.tell_all(number, true, back);
@@ -250,34 +250,34 @@
             }
             match entry.remove() {
                 Message::Ask { to, from, wanted, is_passed_on } => {
-                    self.lend(to, from, wanted, is_passed_on);
+                    self.grant(to, from, wanted, is_passed_on);
                 }
                 Message::Grant { to, grant } => self.take_grant(to, &grant),
                 Message::Handover { to, thousandths } => {
-                    let handover = LedgerHandover { customer: customer(), thousandths };
+                    let handover = QuotaHandover { customer: customer(), thousandths };
                     let (limit, now) = (self.limit, self.boot());
-                    self.nodes[to].ledger.take_over(&handover, limit, now);
+                    self.nodes[to].quota.take_over(&handover, limit, now);
                 }
                 Message::Learn { at, about, is_member } => {
                     self.nodes[at].members[about] = is_member;
                     self.nodes[at].changed_at = self.now;
-                    self.look_after_ledger(at);
+                    self.hand_over_quota(at);
                 }
             }
         }
     }
 
-    fn look_after_ledger(&mut self, at: usize) {
-        let keeper = self.keeper_for(at);
-        let closed = self.nodes[at].ledger.close(|_| keeper == at);
+    fn hand_over_quota(&mut self, at: usize) {
+        let owner = self.owner_for(at);
+        let closed = self.nodes[at].quota.close(|_| owner == at);
         for handover in closed {
-            let message = Message::Handover { to: keeper, thousandths: handover.thousandths };
-            self.send(at, keeper, message);
+            let message = Message::Handover { to: owner, thousandths: handover.thousandths };
+            self.send(at, owner, message);
         }
     }
 
-    /// The instance that `at` takes for the keeper: the lowest after a shuffle of numbers.
-    fn keeper_for(&self, at: usize) -> usize {
+    /// The instance that `at` takes for the owner: the lowest after a shuffle of numbers.
+    fn owner_for(&self, at: usize) -> usize {
         let members = &self.nodes[at].members;
         let rank = |it: &usize| (*it as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 20;
         (0..members.len()).filter(|it| members[*it]).min_by_key(rank).unwrap_or(at)
@@ -290,15 +290,11 @@
         if missing >= 0.2 { 1.0 - missing } else { 1.0 }
     }
 
-    fn lend(&mut self, at: usize, from: usize, wanted: u32, is_passed_on: bool) {
-        let keeper = self.keeper_for(at);
-        if keeper != at {
+    fn grant(&mut self, at: usize, from: usize, wanted: u32, is_passed_on: bool) {
+        let owner = self.owner_for(at);
+        if owner != at {
             if !is_passed_on {
-                self.send(
-                    at,
-                    keeper,
-                    Message::Ask { to: keeper, from, wanted, is_passed_on: true },
-                );
+                self.send(at, owner, Message::Ask { to: owner, from, wanted, is_passed_on: true });
             }
             return;
         }
@@ -310,7 +306,7 @@
         };
         let (part, now, limit) = (self.part(at), self.boot(), self.limit);
         let since = BootInstant(self.nodes[at].changed_at);
-        let grant = self.nodes[at].ledger.lend(&req, limit, since, part, now);
+        let grant = self.nodes[at].quota.grant(&req, limit, since, part, now);
         if from == at {
             self.take_grant(at, &grant);
         } else {
@@ -321,7 +317,7 @@
     fn take_grant(&mut self, at: usize, grant: &TokenGrant) {
         let now = self.boot();
         let node = &mut self.nodes[at];
-        node.purse.take(grant, now);
+        node.leased.take(grant, now);
         node.is_unfunded = grant.is_settling;
         node.asked_at = None;
         let waiting = std::mem::take(&mut node.waiting);
@@ -361,10 +357,10 @@
 
     fn try_again(&mut self, home: usize, tries: u32) {
         let now = self.boot();
-        match self.nodes[home].purse.spend(now) {
+        match self.nodes[home].leased.spend(now) {
             Spending::Granted => {
                 self.note(true);
-                if self.nodes[home].purse.runs_low(now) {
+                if self.nodes[home].leased.runs_low(now) {
                     self.ask(home);
                 }
             }
@@ -372,7 +368,7 @@
             Spending::Unfunded if self.nodes[home].is_unfunded || tries == TRIES => {
                 self.nodes[home].is_unfunded = true;
                 self.ask(home);
-                let runs = self.nodes[home].purse.coast(now);
+                let runs = self.nodes[home].leased.spend_in_grace(now);
                 self.note(runs);
             }
             Spending::Unfunded => {
@@ -388,15 +384,15 @@
         }
         self.nodes[home].asked_at = Some(self.now);
         let waiting = self.nodes[home].waiting.len().max(1) as u32;
-        let wanted = self.nodes[home].purse.wanted(waiting, self.boot());
-        let keeper = self.keeper_for(home);
-        if keeper == home {
-            self.lend(home, home, wanted, false);
+        let wanted = self.nodes[home].leased.wanted(waiting, self.boot());
+        let owner = self.owner_for(home);
+        if owner == home {
+            self.grant(home, home, wanted, false);
         } else {
             self.send(
                 home,
-                keeper,
-                Message::Ask { to: keeper, from: home, wanted, is_passed_on: false },
+                owner,
+                Message::Ask { to: owner, from: home, wanted, is_passed_on: false },
             );
         }
     }
@@ -417,8 +413,8 @@
             is_up: true,
             members: vec![true; size],
             changed_at: started,
-            ledger: Ledger::default(),
-            purse: Purse::new(BootInstant(started).plus(Duration::ZERO)),
+            quota: OwnedQuotas::default(),
+            leased: LeasedTokens::new(BootInstant(started).plus(Duration::ZERO)),
             even: 1.0,
             waiting: VecDeque::new(),
             asked_at: None,
--- a/crates/gullspar_direct/src/fleet/heartbeats.rs
+++ b/crates/gullspar_direct/src/fleet/heartbeats.rs
@@ -63,7 +63,7 @@
     fn send_round(&self, told: &mut Told, is_due: bool) {
         let now = self.borders.clock.boot_now();
         self.peers.set_leaving(self.shutdown.phase() != Phase::Serving);
-        self.look_after_ledgers(now);
+        self.hand_over_quotas(now);
         let views = self.views(now);
         let changed: BTreeSet<GroupName> = views
             .iter()
@@ -130,9 +130,9 @@
     pub fn take_message(&self, message: PeerMessage) {
         match message {
             PeerMessage::Heartbeat(heartbeat) => self.take_heartbeat(heartbeat),
-            PeerMessage::TokenRequest(req) => self.lend(&req),
+            PeerMessage::TokenRequest(req) => self.answer_token_request(&req),
             PeerMessage::TokenGrant(grant) => self.take_grant(&grant),
-            PeerMessage::LedgerHandover(handover) => self.take_ledger(&handover),
+            PeerMessage::QuotaHandover(handover) => self.take_quota(&handover),
         }
     }
 
--- a/crates/gullspar_direct/src/fleet/limits.rs
+++ b/crates/gullspar_direct/src/fleet/limits.rs
@@ -1,6 +1,6 @@
 //! Keeping customers to their limits over all instances together.
 //!
-//! One instance keeps a customer's ledger, chosen by rendezvous hashing, and lends tokens to those that serve the
+//! One instance keeps a customer's quota, chosen by rendezvous hashing, and grants tokens to those that serve the
 //! customer's sessions. What happens while it is out of reach stands in `docs/design/customers.md`.
 
 use std::cell::{Cell, RefCell};
@@ -11,34 +11,36 @@
 
 use event_listener::Event;
 use gullspar_border::{BootInstant, within};
-use gullspar_customer::{Ledger, LedgerHandover, Purse, Spending, TokenGrant, TokenRequest};
+use gullspar_customer::{
+    LeasedTokens, OwnedQuotas, QuotaHandover, Spending, TokenGrant, TokenRequest,
+};
 use gullspar_model::{CustomerName, NotRun};
 
 use crate::fleet::homes;
 use crate::fleet::peer_table::Epoch;
 use crate::{PeerMessage, Phase, Proxy};
 
-/// How long the keeper of a ledger may take to answer before it is asked again.
+/// How long the owner of a quota may take to answer before it is asked again.
 const ASK_WITHIN: Duration = Duration::from_millis(60);
 
-/// Questions without an answer after which operations go on without the keeper.
+/// Questions without an answer after which operations go on without the owner.
 const TRIES: u32 = 2;
 
 /// One customer as this instance serves it.
 struct Account {
-    purse: RefCell<Purse>,
+    leased: RefCell<LeasedTokens>,
     /// Operations that wait for tokens.
     waiting: Cell<u32>,
     asked_at: Cell<Option<BootInstant>>,
-    /// Its keeper does not answer, or lends nothing yet; operations don't wait for it.
+    /// Its owner does not answer, or grants nothing yet; operations don't wait for it.
     is_unfunded: Cell<bool>,
-    keeper: RefCell<Option<(Epoch, SocketAddr)>>,
+    owner: RefCell<Option<(Epoch, SocketAddr)>>,
     answered: Event,
 }
 
-/// What decides who keeps which ledger.
+/// What decides who keeps which quota.
 #[derive(Clone, Copy, PartialEq, Eq)]
-struct Keepers {
+struct Owners {
     members: Epoch,
     /// This instance takes part no more.
     leaves: bool,
@@ -47,11 +49,11 @@
 /// The limits that this instance keeps, and those that it is kept to.
 #[derive(Default)]
 pub(crate) struct Limits {
-    ledger: RefCell<Ledger>,
+    quotas: RefCell<OwnedQuotas>,
     accounts: RefCell<BTreeMap<CustomerName, Rc<Account>>>,
-    /// Among whom the ledgers are kept, and since when.
-    kept_by: Cell<Option<(Keepers, BootInstant)>>,
-    /// The part of the fleet that this instance lends for, in percent.
+    /// Among whom the quotas are kept, and since when.
+    owned_by: Cell<Option<(Owners, BootInstant)>>,
+    /// The part of the fleet that this instance grants for, in percent.
     part_percent: Cell<u32>,
 }
 
@@ -74,10 +76,10 @@
         let mut tries = 0;
         loop {
             let now = self.borders.clock.boot_now();
-            let spending = account.purse.borrow_mut().spend(now);
+            let spending = account.leased.borrow_mut().spend(now);
             match spending {
                 Spending::Granted => {
-                    if account.purse.borrow().runs_low(now) {
+                    if account.leased.borrow().runs_low(now) {
                         self.ask(customer, &account, now);
                     }
                     return Ok(());
@@ -92,13 +94,13 @@
             }
             if account.is_unfunded.get() {
                 self.ask(customer, &account, now);
-                return self.coast(customer, &account, now);
+                return self.run_in_grace(customer, &account, now);
             }
             let answered = account.answered.listen();
             account.waiting.set(account.waiting.get() + 1);
             self.ask(customer, &account, now);
             let until = (self.borders.clock.now() + ASK_WITHIN).min(deadline);
-            // Its own ledger has answered by now.
+            // Its own quota has answered by now.
             if account.asked_at.get().is_some()
                 && within(&*self.borders.clock, until, answered).await.is_err()
             {
@@ -114,18 +116,18 @@
         if let Some(account) =
             customer.and_then(|it| self.limits.accounts.borrow().get(it).cloned())
         {
-            account.purse.borrow_mut().spend_unasked();
+            account.leased.borrow_mut().spend_unasked();
         }
     }
 
-    fn coast(
+    fn run_in_grace(
         &self,
         customer: &CustomerName,
         account: &Account,
         now: BootInstant,
     ) -> Result<(), NotRun> {
-        if account.purse.borrow_mut().coast(now) {
-            self.borders.stats.coasted();
+        if account.leased.borrow_mut().spend_in_grace(now) {
+            self.borders.stats.ran_in_grace();
             return Ok(());
         }
         Err(self.limited(customer, ASK_WITHIN))
@@ -144,60 +146,60 @@
             return Rc::clone(account);
         }
         let account = Rc::new(Account {
-            purse: RefCell::new(Purse::new(self.borders.clock.boot_now())),
+            leased: RefCell::new(LeasedTokens::new(self.borders.clock.boot_now())),
             waiting: Cell::new(0),
             asked_at: Cell::new(None),
             is_unfunded: Cell::new(false),
-            keeper: RefCell::new(None),
+            owner: RefCell::new(None),
             answered: Event::new(),
         });
         accounts.insert(customer.clone(), Rc::clone(&account));
         account
     }
 
-    /// Asks the keeper for tokens unless an answer is on its way.
+    /// Asks the owner for tokens unless an answer is on its way.
     fn ask(&self, customer: &CustomerName, account: &Account, now: BootInstant) {
         let asked_at = account.asked_at.get();
         if asked_at.is_some_and(|at| now.since(at) < ASK_WITHIN) {
             return;
         }
         account.asked_at.set(Some(now));
-        let wanted = account.purse.borrow().wanted(account.waiting.get().max(1), now);
+        let wanted = account.leased.borrow().wanted(account.waiting.get().max(1), now);
         let req = TokenRequest {
             customer: customer.clone(),
             wanted,
             reply_to: self.own.address,
             is_passed_on: false,
         };
-        let keeper = self.keeper_as_known(customer, account, now);
-        if keeper == self.own.address {
+        let owner = self.owner_as_known(customer, account, now);
+        if owner == self.own.address {
             let grant = self.grant(&req, now);
             self.take_grant(&grant);
         } else {
-            self.borders.peers.send(keeper, &PeerMessage::TokenRequest(req));
+            self.borders.peers.send(owner, &PeerMessage::TokenRequest(req));
         }
     }
 
-    fn keeper_as_known(
+    fn owner_as_known(
         &self,
         customer: &CustomerName,
         account: &Account,
         now: BootInstant,
     ) -> SocketAddr {
         let epoch = self.peers.epoch(now);
-        let mut known = account.keeper.borrow_mut();
+        let mut known = account.owner.borrow_mut();
         match *known {
-            Some((at, keeper)) if at == epoch => keeper,
+            Some((at, owner)) if at == epoch => owner,
             _ => {
-                let keeper = self.keeper(customer);
-                *known = Some((epoch, keeper));
-                keeper
+                let owner = self.quota_owner(customer);
+                *known = Some((epoch, owner));
+                owner
             }
         }
     }
 
-    /// The instance that keeps the ledger of `customer`, as far as this one knows.
-    fn keeper(&self, customer: &CustomerName) -> SocketAddr {
+    /// The instance that keeps the quota of `customer`, as far as this one knows.
+    fn quota_owner(&self, customer: &CustomerName) -> SocketAddr {
         let members = self.members();
         // Others no longer count one that leaves.
         let leaves = self.leaves();
@@ -212,30 +214,30 @@
         self.shutdown.phase() != Phase::Serving
     }
 
-    /// Lends to the instance that asks, or passes the question on to the keeper.
-    pub(crate) fn lend(&self, req: &TokenRequest) {
-        let keeper = self.keeper(&req.customer);
-        if keeper == self.own.address {
+    /// Grants to the instance that asks, or passes the question on to the owner.
+    pub(crate) fn answer_token_request(&self, req: &TokenRequest) {
+        let owner = self.quota_owner(&req.customer);
+        if owner == self.own.address {
             let grant = self.grant(req, self.borders.clock.boot_now());
             self.borders.peers.send(req.reply_to, &PeerMessage::TokenGrant(grant));
         } else if !req.is_passed_on {
             // Instances learn of each other at different moments.
             let passed_on = TokenRequest { is_passed_on: true, ..req.clone() };
-            self.borders.peers.send(keeper, &PeerMessage::TokenRequest(passed_on));
+            self.borders.peers.send(owner, &PeerMessage::TokenRequest(passed_on));
         }
     }
 
-    /// Goes on with a ledger that another instance kept before.
-    pub(crate) fn take_ledger(&self, handover: &LedgerHandover) {
+    /// Goes on with a quota that another instance kept before.
+    pub(crate) fn take_quota(&self, handover: &QuotaHandover) {
         let limit = self.directory.catalogue().and_then(|it| it.limit(&handover.customer));
         if let Some(limit) = limit {
             let now = self.borders.clock.boot_now();
-            self.limits.ledger.borrow_mut().take_over(handover, limit, now);
+            self.limits.quotas.borrow_mut().take_over(handover, limit, now);
         }
     }
 
     fn grant(&self, req: &TokenRequest, now: BootInstant) -> TokenGrant {
-        let since = self.look_after_ledgers(now);
+        let since = self.hand_over_quotas(now);
         let limit = self.directory.catalogue().and_then(|it| it.limit(&req.customer));
         let Some(limit) = limit else {
             // A newer configuration than that of the instance that asks, or an older one.
@@ -243,34 +245,34 @@
             return TokenGrant { customer, tokens: 0, next_token_ms: 0, is_settling: true };
         };
         let part = f64::from(self.limits.part_percent.get()) / 100.0;
-        self.limits.ledger.borrow_mut().lend(req, limit, since, part, now)
+        self.limits.quotas.borrow_mut().grant(req, limit, since, part, now)
     }
 
-    /// Hands over the ledgers that other instances keep now; gives since when the members are what they are.
-    pub(crate) fn look_after_ledgers(&self, now: BootInstant) -> BootInstant {
-        let keepers = Keepers { members: self.peers.epoch(now), leaves: self.leaves() };
-        match self.limits.kept_by.get() {
-            Some((known, since)) if known == keepers => since,
+    /// Hands over the quotas that other instances keep now; gives since when the members are what they are.
+    pub(crate) fn hand_over_quotas(&self, now: BootInstant) -> BootInstant {
+        let owners = Owners { members: self.peers.epoch(now), leaves: self.leaves() };
+        match self.limits.owned_by.get() {
+            Some((known, since)) if known == owners => since,
             _ => {
-                self.limits.kept_by.set(Some((keepers, now)));
+                self.limits.owned_by.set(Some((owners, now)));
                 self.limits.part_percent.set(self.peers.percent_in_reach(now));
-                let mut ledger = self.limits.ledger.borrow_mut();
-                let closed = ledger.close(|it| self.keeper(it) == self.own.address);
+                let mut quotas = self.limits.quotas.borrow_mut();
+                let closed = quotas.close(|it| self.quota_owner(it) == self.own.address);
                 for handover in closed {
-                    let keeper = self.keeper(&handover.customer);
-                    self.borders.peers.send(keeper, &PeerMessage::LedgerHandover(handover));
+                    let owner = self.quota_owner(&handover.customer);
+                    self.borders.peers.send(owner, &PeerMessage::QuotaHandover(handover));
                 }
                 now
             }
         }
     }
 
-    /// Takes what a keeper lent.
+    /// Takes what a owner granted.
     pub(crate) fn take_grant(&self, grant: &TokenGrant) {
         let account = self.limits.accounts.borrow().get(&grant.customer).cloned();
         let Some(account) = account else { return };
         let now = self.borders.clock.boot_now();
-        account.purse.borrow_mut().take(grant, now);
+        account.leased.borrow_mut().take(grant, now);
         account.is_unfunded.set(grant.is_settling);
         account.asked_at.set(None);
         account.answered.notify(usize::MAX);
@@ -279,9 +281,9 @@
     /// Notices changes of the members, and forgets customers that nobody hears of any more.
     pub(crate) fn tend_limits(&self) {
         let now = self.borders.clock.boot_now();
-        self.look_after_ledgers(now);
+        self.hand_over_quotas(now);
         self.limits.part_percent.set(self.peers.percent_in_reach(now));
         let mut accounts = self.limits.accounts.borrow_mut();
-        accounts.retain(|_, it| it.waiting.get() > 0 || !it.purse.borrow().is_idle(now));
+        accounts.retain(|_, it| it.waiting.get() > 0 || !it.leased.borrow().is_idle(now));
     }
 }
--- a/crates/gullspar_direct/src/fleet/peer_message.rs
+++ b/crates/gullspar_direct/src/fleet/peer_message.rs
@@ -1,6 +1,6 @@
 //! What instances send each other without waiting for an answer.
 
-use gullspar_customer::{LedgerHandover, TokenGrant, TokenRequest};
+use gullspar_customer::{QuotaHandover, TokenGrant, TokenRequest};
 use gullspar_model::record;
 
 use crate::Heartbeat;
@@ -11,6 +11,6 @@
         Heartbeat(Heartbeat),
         TokenRequest(TokenRequest),
         TokenGrant(TokenGrant),
-        LedgerHandover(LedgerHandover),
+        QuotaHandover(QuotaHandover),
     }
 }
--- a/crates/gullspar_direct/src/stats.rs
+++ b/crates/gullspar_direct/src/stats.rs
@@ -25,7 +25,7 @@
     acknowledged_alone: Counter<u64>,
     keys_refused: Counter<u64>,
     limited: Counter<u64>,
-    coasted: Counter<u64>,
+    in_grace: Counter<u64>,
     connections: Counter<u64>,
     sessions: Gauge<u64>,
     configuration: Gauge<u64>,
@@ -92,9 +92,9 @@
                 "gullspar_limited_operations",
                 "Operations refused since their customer is at its limit.",
             ),
-            coasted: counter(
-                "gullspar_coasted_operations",
-                "Operations run while the keeper of their customer's limit was out of reach.",
+            in_grace: counter(
+                "gullspar_operations_in_grace",
+                "Operations run while the owner of their customer's quota granted nothing.",
             ),
             connections: counter(
                 "gullspar_target_connections",
@@ -162,8 +162,8 @@
         self.limited.add(1, &[]);
     }
 
-    pub(crate) fn coasted(&self) {
-        self.coasted.add(1, &[]);
+    pub(crate) fn ran_in_grace(&self) {
+        self.in_grace.add(1, &[]);
     }
 
     pub(crate) fn connection(&self, event: &'static str) {
--- a/crates/gullspar_direct/tests/customers.rs
+++ b/crates/gullspar_direct/tests/customers.rs
@@ -44,7 +44,7 @@
     proxy
 }
 
-/// Four instances that have known each other for long enough to lend.
+/// Four instances that have known each other for long enough to grant.
 async fn four(world: &World, holders: &[(&str, &str, Option<RateLimit>)]) -> Vec<Rc<Proxy>> {
     let configuration = || with_customers(2, 60, holders);
     let start = |it| world.instance_as(member(it), configuration());
@@ -279,7 +279,7 @@
 
 /// Guards against a customer that is refused everything while the instance that counts for it is gone.
 #[test]
-fn callers_are_served_on_while_the_keeper_of_their_limit_is_replaced() {
+fn callers_are_served_on_while_the_owner_of_their_quota_is_replaced() {
     run(async {
         let world = World::new();
         let holders = [("key-a", "abbey", limit(100, 100))];
@@ -301,7 +301,7 @@
             slow += u32::from(asked.elapsed().as_millis() > 100);
             pause(20).await;
         }
-        assert!(slow <= 1, "{slow} operations waited for a keeper that does not answer");
+        assert!(slow <= 1, "{slow} operations waited for a owner that does not answer");
         assert!(served > 4 * refused, "{served} served and {refused} refused");
     });
 }
