--- a/crates/gullspar_direct/src/configuration/directory.rs
+++ b/crates/gullspar_direct/src/configuration/directory.rs
@@ -166,11 +166,6 @@
         self.target_revision.borrow().unwrap_or_default()
     }
 
-    /// The era of the store that the list of targets is of, if there is a list.
-    pub(crate) fn known_era(&self) -> Option<u64> {
-        self.target_revision.borrow().map(|it| it.era)
-    }
-
     /// How statements of `service` are served.
     pub fn route(&self, service: &ServiceName) -> Option<Route> {
         self.catalogue.borrow().as_ref()?.routes.get(service).cloned()
--- a/crates/gullspar_direct/src/fleet/discovery.rs
+++ b/crates/gullspar_direct/src/fleet/discovery.rs
@@ -62,22 +62,22 @@
         let clock = Rc::clone(&self.borders.clock);
         let deadline = clock.now() + DISCOVERY_WITHIN;
         let found = within(&*clock, deadline, self.look_up()).await.ok().flatten();
-        let mut entered = found.as_ref().is_some_and(|it| it.contains(&self.own.member()));
+        let is_entered = found.as_ref().is_some_and(|it| it.contains(&self.own.member()));
+        // The era of the store in which this instance was entered.
+        let mut entered = is_entered.then(|| self.store_era());
         self.expect(found.unwrap_or_default());
         self.discovery.finish();
         self.tend_groups();
-        let mut era = None;
         loop {
-            let known = self.directory.known_era();
-            if era.is_some() && known > era {
+            let era = self.store_era();
+            if entered.is_some_and(|it| it < era) {
                 // The older copy may lack this instance. Not all write at once.
-                entered = false;
                 let spread = ENTER_SPACING * self.members().len() as u32;
                 clock.sleep_until(clock.now() + jittered(&*self.borders.entropy, spread)).await;
+                entered = None;
             }
-            era = known;
-            if !entered {
-                entered = self.enter_registry().await;
+            if entered.is_none() {
+                entered = self.enter_registry().await.then_some(era);
             }
             clock.sleep_until(clock.now() + LONELY_AFTER).await;
             if self.members().len() == 1 {
@@ -108,6 +108,11 @@
         }
     }
 
+    /// The newest era of the store, as this instance or those that hand it lists of targets know.
+    fn store_era(&self) -> u64 {
+        self.borders.registry.era().max(self.directory.target_revision().era)
+    }
+
     async fn enter_registry(&self) -> bool {
         match self.borders.registry.enter(&self.own.member()).await {
             Ok(()) => true,
--- a/crates/gullspar_direct/src/fleet/registry.rs
+++ b/crates/gullspar_direct/src/fleet/registry.rs
@@ -21,6 +21,9 @@
     /// Enters an instance, or replaces what stands there of it.
     fn enter<'a>(&'a self, member: &'a Member) -> LocalBoxFuture<'a, Result<(), RegistryError>>;
 
+    /// The newest era of the store behind it that any of its answers to this instance told.
+    fn era(&self) -> u64;
+
     /// All entries, those of instances that are gone included.
     fn entries(&self) -> LocalBoxFuture<'_, Result<Vec<Member>, RegistryError>>;
 }
--- a/crates/gullspar_direct/tests/support/fake_registry.rs
+++ b/crates/gullspar_direct/tests/support/fake_registry.rs
@@ -35,6 +35,10 @@
         async { Ok(()) }.boxed_local()
     }
 
+    fn era(&self) -> u64 {
+        0
+    }
+
     fn entries(&self) -> LocalBoxFuture<'_, Result<Vec<Member>, RegistryError>> {
         if self.silent.get() {
             return futures::future::pending().boxed_local();
