Find the views of one group without searching all heartbeats

Cause: each question about a group (votes, confirmations, order of promotion) went through the newest heartbeat of every instance that sends any, and through all views in it by name. With 134 peers and a dozen groups, and some 160 groups at the strong instances, this is one of the largest parts of the fleet's profile (handling heartbeats, comparing names).

Change: an index of the instances that have a view of each group, brought up to date only when an instance's groups change; views within a heartbeat are sorted once and found by bisection. Same answers; the tests of knowledge, claims and failover pass unchanged.

--- a/crates/gullspar_direct/src/fleet/heartbeat.rs
+++ b/crates/gullspar_direct/src/fleet/heartbeat.rs
@@ -80,8 +80,19 @@
         self.gossip.from.leaving
     }
 
-    /// The sender's view of `group`; `None` if it does not monitor the group.
+    /// Sorts the views by group, for [`Heartbeat::view`].
+    pub(crate) fn sort_views(&mut self) {
+        self.views.sort_by(|a, b| a.group.cmp(&b.group));
+    }
+
+    /// The sender's view of `group`; `None` if it does not monitor the group. The views must be sorted.
     pub(crate) fn view(&self, group: &GroupName) -> Option<&GroupView> {
-        self.views.iter().find(|it| it.group == *group)
+        let at = self.views.binary_search_by(|it| it.group.cmp(group)).ok()?;
+        self.views.get(at)
+    }
+
+    /// The groups that both the sender and the receiver monitor.
+    pub(crate) fn groups(&self) -> impl Iterator<Item = &GroupName> {
+        self.views.iter().map(|it| &it.group)
     }
 }
--- a/crates/gullspar_direct/src/fleet/views.rs
+++ b/crates/gullspar_direct/src/fleet/views.rs
@@ -1,7 +1,7 @@
 //! The newest heartbeats received from other instances, and what they report about groups.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -9,7 +9,7 @@
 use gullspar_membership::{DEAD_COUNTED_PERIOD, Member};
 use gullspar_model::{GroupName, InstanceId, MemberName, Revision};
 
-use crate::{Heartbeat, LeaderHealth};
+use crate::{GroupView, Heartbeat, LeaderHealth};
 
 /// An instance is alive if something was received from it within this time; this tolerates five
 /// lost heartbeats in a row.
@@ -37,24 +37,43 @@
 #[derive(Default)]
 pub(crate) struct Views {
     received: RefCell<BTreeMap<InstanceId, Received>>,
+    /// The instances with a view of each group. With many groups and peers, searching all heartbeats for one group
+    /// would cost more than everything else.
+    monitors: RefCell<BTreeMap<GroupName, BTreeSet<InstanceId>>>,
 }
 
 impl Views {
-    pub(crate) fn record(&self, heartbeat: Heartbeat, now: BootInstant) {
+    pub(crate) fn record(&self, mut heartbeat: Heartbeat, now: BootInstant) {
+        heartbeat.sort_views();
         let from = heartbeat.from().clone();
-        self.received.borrow_mut().insert(from, Received { heartbeat, at: now });
+        let mut received = self.received.borrow_mut();
+        let old = received.get(&from).map(|it| &it.heartbeat);
+        if !old.is_some_and(|it| it.groups().eq(heartbeat.groups())) {
+            let mut monitors = self.monitors.borrow_mut();
+            old.into_iter().for_each(|it| remove_monitor(&mut monitors, it));
+            for group in heartbeat.groups() {
+                monitors.entry(group.clone()).or_default().insert(from.clone());
+            }
+        }
+        received.insert(from, Received { heartbeat, at: now });
     }
 
     /// Removes instances that have been silent for so long that they are no longer counted.
     pub(crate) fn forget_silent(&self, now: BootInstant) {
-        self.received.borrow_mut().retain(|_, it| now.since(it.at) < DEAD_COUNTED_PERIOD);
+        let mut monitors = self.monitors.borrow_mut();
+        self.received.borrow_mut().retain(|_, it| {
+            let is_kept = now.since(it.at) < DEAD_COUNTED_PERIOD;
+            if !is_kept {
+                remove_monitor(&mut monitors, &it.heartbeat);
+            }
+            is_kept
+        });
     }
 
     /// Ids of the instances that monitor `group` and are not leaving.
     pub(crate) fn monitoring_ids(&self, group: &GroupName, now: BootInstant) -> Vec<InstanceId> {
-        self.select(now, ALIVE_TIMEOUT, |it| {
-            let has_view = it.view(group).is_some();
-            (!it.is_leaving() && has_view).then(|| it.from().clone())
+        self.select_monitors(group, now, ALIVE_TIMEOUT, |it, _| {
+            (!it.is_leaving()).then(|| it.from().clone())
         })
     }
 
@@ -64,7 +83,7 @@
         group: &GroupName,
         now: BootInstant,
     ) -> Vec<SocketAddr> {
-        self.select(now, DEAD_COUNTED_PERIOD, |it| it.view(group).map(|_| it.address()))
+        self.select_monitors(group, now, DEAD_COUNTED_PERIOD, |it, _| Some(it.address()))
     }
 
     /// Whether a heartbeat was recently received from `id`.
@@ -75,11 +94,8 @@
     /// Number of instances that are counted in majorities about `group`: those that monitor it,
     /// this one included.
     pub(crate) fn counted_for(&self, group: &GroupName, now: BootInstant) -> usize {
-        let is_monitoring = |it: &Heartbeat| {
-            let has_view = it.view(group).is_some();
-            (!it.is_leaving() && has_view).then_some(())
-        };
-        1 + self.select(now, DEAD_COUNTED_PERIOD, is_monitoring).len()
+        let is_staying = |it: &Heartbeat, _: &GroupView| (!it.is_leaving()).then_some(());
+        1 + self.select_monitors(group, now, DEAD_COUNTED_PERIOD, is_staying).len()
     }
 
     /// Whether the other instances that see `leader` leading `group` are more than half of those
@@ -90,12 +106,11 @@
         leader: &MemberName,
         now: BootInstant,
     ) -> bool {
-        let sees = |it: &Heartbeat| {
-            let view = it.view(group)?;
+        let sees = |_: &Heartbeat, view: &GroupView| {
             let leads = view.health == LeaderHealth::Leads && view.leader.as_ref() == Some(leader);
             leads.then_some(())
         };
-        2 * self.select(now, VIEW_TTL, sees).len() > self.counted_for(group, now)
+        2 * self.select_monitors(group, now, VIEW_TTL, sees).len() > self.counted_for(group, now)
     }
 
     /// Whether a majority of the counted instances does not oppose `leader` of `group`: this one, and
@@ -110,8 +125,7 @@
         since: BootInstant,
         now: BootInstant,
     ) -> bool {
-        let confirms = |it: &Heartbeat| {
-            let view = it.view(group)?;
+        let confirms = |_: &Heartbeat, view: &GroupView| {
             let not_against = match view.health {
                 LeaderHealth::Leads => view.leader.as_ref() == Some(leader),
                 // An instance that has just started has no opinion yet.
@@ -120,28 +134,25 @@
             };
             not_against.then_some(())
         };
-        let confirming =
-            1 + self.select(now, now.since(since).min(CONFIRMATION_TTL), confirms).len();
+        let within = now.since(since).min(CONFIRMATION_TTL);
+        let confirming = 1 + self.select_monitors(group, now, within, confirms).len();
         2 * confirming > self.counted_for(group, now)
     }
 
     /// Other instances that take work and recently saw a leader of `group`.
     pub(crate) fn members_seeing_leader(&self, group: &GroupName, now: BootInstant) -> Vec<Member> {
-        let sees = |it: &Heartbeat| {
-            let view = it.view(group)?;
+        let sees = |it: &Heartbeat, view: &GroupView| {
             let leads = view.health == LeaderHealth::Leads;
             (!it.is_leaving() && leads).then(|| it.member().clone())
         };
-        self.select(now, VIEW_TTL, sees)
+        self.select_monitors(group, now, VIEW_TTL, sees)
     }
 
     /// Whether any other instance recently saw a leader of `group`.
     pub(crate) fn is_leader_seen_by_peers(&self, group: &GroupName, now: BootInstant) -> bool {
-        let sees = |it: &Heartbeat| {
-            let view = it.view(group)?;
-            (view.health == LeaderHealth::Leads).then_some(())
-        };
-        !self.select(now, VIEW_TTL, sees).is_empty()
+        let sees =
+            |_: &Heartbeat, view: &GroupView| (view.health == LeaderHealth::Leads).then_some(());
+        !self.select_monitors(group, now, VIEW_TTL, sees).is_empty()
     }
 
     /// Number of other instances that recently saw no leader in `group`, or saw `leader`
@@ -152,17 +163,14 @@
         leader: Option<&MemberName>,
         now: BootInstant,
     ) -> usize {
-        let against = |it: &Heartbeat| {
-            let view = it.view(group)?;
-            match view.health {
-                LeaderHealth::NoLeader => Some(()),
-                LeaderHealth::Unresponsive => {
-                    (view.leader.as_ref() == leader || leader.is_none()).then_some(())
-                }
-                LeaderHealth::Leads | LeaderHealth::Unsure => None,
+        let against = |_: &Heartbeat, view: &GroupView| match view.health {
+            LeaderHealth::NoLeader => Some(()),
+            LeaderHealth::Unresponsive => {
+                (view.leader.as_ref() == leader || leader.is_none()).then_some(())
             }
+            LeaderHealth::Leads | LeaderHealth::Unsure => None,
         };
-        self.select(now, VIEW_TTL, against).len()
+        self.select_monitors(group, now, VIEW_TTL, against).len()
     }
 
     /// Responsive instances whose configuration is newer than `version` or whose list of targets is
@@ -196,10 +204,32 @@
         pick: impl Fn(&Heartbeat) -> Option<T>,
     ) -> Vec<T> {
         let received = self.received.borrow();
-        received
-            .values()
-            .filter(|it| now.since(it.at) < within)
-            .filter_map(|it| pick(&it.heartbeat))
-            .collect()
+        let recent = received.values().filter(|it| now.since(it.at) < within);
+        recent.filter_map(|it| pick(&it.heartbeat)).collect()
+    }
+
+    /// Like [`Views::select`], among the instances that monitor `group`.
+    fn select_monitors<T>(
+        &self,
+        group: &GroupName,
+        now: BootInstant,
+        within: Duration,
+        pick: impl Fn(&Heartbeat, &GroupView) -> Option<T>,
+    ) -> Vec<T> {
+        let (received, monitors) = (self.received.borrow(), self.monitors.borrow());
+        let known = monitors.get(group).into_iter().flatten().filter_map(|it| received.get(it));
+        let recent = known.filter(|it| now.since(it.at) < within);
+        recent.filter_map(|it| pick(&it.heartbeat, it.heartbeat.view(group)?)).collect()
+    }
+}
+
+fn remove_monitor(monitors: &mut BTreeMap<GroupName, BTreeSet<InstanceId>>, heartbeat: &Heartbeat) {
+    for group in heartbeat.groups() {
+        if let Some(ids) = monitors.get_mut(group) {
+            ids.remove(heartbeat.from());
+            if ids.is_empty() {
+                monitors.remove(group);
+            }
+        }
     }
 }
