Check groups for a failover only when something changed while the leader serves

Cause: each group of each home was looked at 20 times a second, whether or not anything could have changed: 240 wake-ups a second for a dozen groups, some 3,000 at the strong instances of the fleet.

Change: while the leader answers and stays, the group is looked at on a change and once a second. All that makes another leader necessary notifies the group: a target that becomes unresponsive or is removed, one that announces its leaving, a leader that no longer leads. Without a leader the interval stays 50 ms. Tests of failover, claims, leaving and partitions pass unchanged.

--- a/crates/gullspar_direct/src/groups/failover.rs
+++ b/crates/gullspar_direct/src/groups/failover.rs
@@ -9,8 +9,8 @@
 use crate::fleet::homes;
 use crate::groups::candidate::Candidate;
 use crate::groups::failover_timing::{
-    CHECK_INTERVAL, LEADERLESS_TIMEOUT, MAX_ORDER_ATTEMPTS, PROMOTION_TIMEOUT, RETRY_DELAY,
-    TURN_DELAY,
+    CALM_CHECK_INTERVAL, CHECK_INTERVAL, LEADERLESS_TIMEOUT, MAX_ORDER_ATTEMPTS, PROMOTION_TIMEOUT,
+    RETRY_DELAY, TURN_DELAY,
 };
 use crate::groups::group::Group;
 use crate::{
@@ -50,7 +50,9 @@
         loop {
             let changed = self.group.listen();
             // The check follows whether or not something changed.
-            let _ = within(&*clock, clock.now() + CHECK_INTERVAL, changed).await;
+            let is_calm = self.group.responsive_leader().is_some_and(|it| !it.spec().leaving);
+            let interval = if is_calm { CALM_CHECK_INTERVAL } else { CHECK_INTERVAL };
+            let _ = within(&*clock, clock.now() + interval, changed).await;
             if self.group.is_ended() {
                 return;
             }
--- a/crates/gullspar_direct/src/groups/failover_timing.rs
+++ b/crates/gullspar_direct/src/groups/failover_timing.rs
@@ -5,6 +5,10 @@
 /// Interval between checks of whether a group needs another leader.
 pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Interval between checks whether a group needs another leader while its leader answers and stays. All that can change
+/// this notifies the group.
+pub(crate) const CALM_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
 /// How long a group may have no leader, while members answer, before one is promoted.
 ///
 /// A promotion that another instance ordered leaves the group without a leader for a moment, which must not
