Give groups as many homes as the instances can share, next to their targets

Cause: each group had two homes in each data centre, whatever its load: 12 for 2.3 statements a second in the fleet, each checking three targets and telling eleven others its view five times a second. At 984 instances, 1,000 groups and 6 data centres an instance has 12 roles and up to 134 peers; at 2,169 instances, 5,000 groups and 24 data centres it would have 110 roles. Besides, finding out which groups are an instance's own ranked all instances of its data centre for each of 3,000 targets, twice a second and at each change.

Change: an instance is home of four groups on average, as long as each group has three homes. While that is fewer than the data centres, homes are in those of the targets. Fleets with few groups keep the homes they had. The groups that are an instance's own are found once a change, with comparisons that stop early, and only they are maintained.

Ruled out for now: one home that checks by lease while the others listen (as many heartbeats, votes count only who checks); bundles of groups (docs/design/fleet.md).

--- a/crates/gullspar_direct/src/configuration/directory.rs
+++ b/crates/gullspar_direct/src/configuration/directory.rs
@@ -9,6 +9,7 @@
 use gullspar_model::{GroupName, MemberName, Revision, ServiceName};
 use gullspar_statement::TargetSpec;
 
+use crate::configuration::group_targets::GroupTargets;
 use crate::{Catalogue, Route, TargetList};
 
 /// How long a target is still used after it vanished from the list.
@@ -36,8 +37,9 @@
     /// Unverified entries: their targets were unknown when the store was restored from an older copy.
     unverified: RefCell<BTreeMap<MemberName, TargetSpec>>,
     unverified_until: Cell<Option<Instant>>,
-    /// Cached result of [`Directory::slots`], cleared when the targets change.
-    slots: RefCell<Option<BTreeMap<GroupName, u32>>>,
+    /// The targets by group; cleared when the targets change.
+    by_group: RefCell<Option<BTreeMap<GroupName, Rc<GroupTargets>>>>,
+    generation: Cell<u64>,
     changed: Event,
 }
 
@@ -53,7 +55,7 @@
         }
         log::info!(version = catalogue.version, routes = catalogue.routes.len(); "G0701 configuration in force");
         *self.catalogue.borrow_mut() = Some(Rc::new(catalogue));
-        self.changed.notify(usize::MAX);
+        self.notify_changed();
         true
     }
 
@@ -180,23 +182,25 @@
         self.targets.borrow().values().map(|it| Rc::clone(&it.spec)).collect()
     }
 
-    /// The largest number of statements that any one target of `group` runs at once; 0 if the group has no target.
-    pub fn slots(&self, group: &GroupName) -> u32 {
-        let mut slots = self.slots.borrow_mut();
-        let known = slots.get_or_insert_with(|| {
-            let mut slots: BTreeMap<GroupName, u32> = BTreeMap::new();
-            for spec in self.targets.borrow().values().map(|it| &it.spec) {
-                let max_slots = slots.entry(spec.group.clone()).or_default();
-                *max_slots = spec.slots.max(*max_slots);
-            }
-            slots
-        });
-        known.get(group).copied().unwrap_or(0)
+    /// The targets of `group`; `None` if it has none.
+    pub(crate) fn group_targets(&self, group: &GroupName) -> Option<Rc<GroupTargets>> {
+        let mut by_group = self.by_group.borrow_mut();
+        let known = by_group.get_or_insert_with(|| GroupTargets::by_group(self.targets()));
+        known.get(group).cloned()
+    }
+
+    /// A number that grows with each change of the configuration or of the targets.
+    pub(crate) fn generation(&self) -> u64 {
+        self.generation.get()
     }
 
-    /// Clears the cached slots and notifies that the targets changed.
     fn notify_targets_changed(&self) {
-        self.slots.replace(None);
+        self.by_group.replace(None);
+        self.notify_changed();
+    }
+
+    fn notify_changed(&self) {
+        self.generation.set(self.generation.get() + 1);
         self.changed.notify(usize::MAX);
     }
 
--- a/crates/gullspar_direct/src/configuration/store_contact.rs
+++ b/crates/gullspar_direct/src/configuration/store_contact.rs
@@ -41,7 +41,7 @@
             return true;
         }
         let mut near: Vec<&Member> = members.near(&self.own.data_centre).iter().collect();
-        near.sort_by_key(|it| homes::weight(STORE_RANK_KEY, &it.id));
+        near.sort_by_key(|it| homes::weight(STORE_RANK_KEY, it.id.as_str()));
         near.iter().take(FOLLOWERS_PER_DATA_CENTRE).any(|it| it.id == self.own.id)
     }
 
--- a/crates/gullspar_direct/src/fleet/home_groups.rs
+++ b/crates/gullspar_direct/src/fleet/home_groups.rs
@@ -1,6 +1,5 @@
 //! The groups that this instance serves, with their targets and its share of the targets' capacity.
 
-use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -8,7 +7,7 @@
 use gullspar_model::{GroupName, InstanceId};
 use gullspar_statement::TargetSpec;
 
-use crate::fleet::homes::Allowance;
+use crate::fleet::home_placement::Allowance;
 use crate::groups::failover;
 use crate::groups::group::Group;
 use crate::proxy::SETTLE_PERIOD;
@@ -39,26 +38,23 @@
             return;
         }
         let now = self.borders.clock.now();
-        let targets = self.directory.targets();
-        let listed: BTreeSet<_> = targets.iter().map(|it| (&it.group, &it.member)).collect();
         for group in self.groups() {
+            let listed = self.directory.group_targets(&group.name);
             for target in group.targets() {
                 let member = target.member();
-                if !listed.contains(&(&group.name, &member)) {
+                if !listed.as_ref().is_some_and(|it| it.has(&member)) {
                     group.remove(&member);
                 }
             }
         }
-        for spec in targets {
-            // The directory may list targets of groups that the configuration does not name; these
-            // are not connected to.
-            let Some(allowance) = self.allowance(&spec.group) else { continue };
-            if self.is_home(&spec.group, allowance) {
-                let homes = self.homes_of(&spec.group, allowance);
-                let holders = homes.map_or_else(|| self.members().len(), |it| it.holders);
-                self.maintain_target(spec, allowance, holders);
-            }
-        }
+        self.forwarded_groups.borrow_mut().retain(|_, until| now < *until);
+        let own_groups = self.own_groups();
+        let forwarded: Vec<GroupName> = self.forwarded_groups.borrow().keys().cloned().collect();
+        own_groups.iter().for_each(|it| self.maintain_home(it));
+        forwarded
+            .iter()
+            .filter(|it| !own_groups.contains(*it))
+            .for_each(|it| self.maintain_home(it));
         self.give_up_groups(now);
         for group in self.groups() {
             let should_keep_connections =
@@ -71,6 +67,19 @@
         }
     }
 
+    /// Brings the targets of `group`, which this instance serves, in line with the directory.
+    fn maintain_home(&self, group: &GroupName) {
+        // The directory may list targets of groups that the configuration does not name; these
+        // are not connected to.
+        let Some(inputs) = self.home_inputs(group) else { return };
+        let Some(known) = self.directory.group_targets(group) else { return };
+        let homes = self.homes_of(group, &inputs);
+        let holders = homes.map_or_else(|| self.members().len(), |it| it.holders);
+        for spec in &known.targets {
+            self.maintain_target(Rc::clone(spec), inputs.allowance, holders);
+        }
+    }
+
     pub(crate) fn maintain_target(
         &self,
         spec: Rc<TargetSpec>,
@@ -130,27 +139,16 @@
         self.forwarded_groups.borrow().get(group).is_some_and(|until| now < *until)
     }
 
-    /// The connections and slots of each target of `group`; `None` if the configuration does not
-    /// name the group.
-    pub(crate) fn allowance(&self, group: &GroupName) -> Option<Allowance> {
-        let limits = self.directory.catalogue()?.groups.get(group).copied()?;
-        let slots = self.directory.slots(group);
-        Some(Allowance { connections: limits.connections, slots })
-    }
-
-    fn is_home(&self, group: &GroupName, allowance: Allowance) -> bool {
-        if self.is_held(group) {
-            return true;
-        }
-        let homes = self.homes_of(group, allowance);
-        homes.is_none_or(|it| it.ranked.iter().take(it.count).any(|it| it.id == self.own.id))
+    fn is_home(&self, group: &GroupName) -> bool {
+        let is_configured =
+            || self.directory.catalogue().is_some_and(|it| it.groups.contains_key(group));
+        self.own_groups().contains(group) || (self.is_held(group) && is_configured())
     }
 
     /// The instances to forward a session of `group` to, best first; `None` if this instance serves
     /// it.
     pub(crate) fn other_homes(&self, group: &GroupName) -> Option<Vec<Member>> {
-        let allowance = self.allowance(group)?;
-        let homes = self.homes_of(group, allowance)?;
+        let homes = self.homes_of(group, &self.home_inputs(group)?)?;
         let (mut ranked, count) = (homes.ranked.clone(), homes.count.min(homes.ranked.len()));
         if ranked.iter().take(count).any(|it| it.id == self.own.id) {
             return None;
@@ -188,9 +186,7 @@
     /// [`GIVE_UP_AFTER`] to end.
     pub(crate) fn give_up_groups(&self, now: Instant) {
         for group in self.groups() {
-            let allowance = self.allowance(&group.name);
-            let is_home = allowance.is_some_and(|it| self.is_home(&group.name, it));
-            match (is_home, group.release_at()) {
+            match (self.is_home(&group.name), group.release_at()) {
                 (true, _) => group.set_release_at(None),
                 (false, None) => {
                     log::info!(group = group.name.as_str(); "G0750 this instance is no longer a home of a group");
--- a/crates/gullspar_direct/src/fleet/limits.rs
+++ b/crates/gullspar_direct/src/fleet/limits.rs
@@ -224,7 +224,7 @@
         let nearest = members
             .iter()
             .filter(|it| !is_leaving || it.id != self.own.id)
-            .max_by_key(|it| homes::weight(customer.as_str(), &it.id));
+            .max_by_key(|it| homes::weight(customer.as_str(), it.id.as_str()));
         nearest.map_or(self.own.address, |it| it.address)
     }
 
--- a/crates/gullspar_direct/src/fleet/members.rs
+++ b/crates/gullspar_direct/src/fleet/members.rs
@@ -14,7 +14,8 @@
 }
 
 impl Members {
-    pub(crate) fn new(all: Vec<Member>) -> Members {
+    /// Groups `all` by data centre.
+    pub fn new(all: Vec<Member>) -> Members {
         let owned = |it: Vec<&Member>| it.into_iter().cloned().collect();
         let by_data_centre = by_data_centre(&all);
         let by_data_centre = by_data_centre
@@ -29,9 +30,9 @@
         self.by_data_centre.get(data_centre).map_or(&[], Vec::as_slice)
     }
 
-    /// The instances of each data centre.
-    pub(crate) fn by_data_centre(&self) -> impl ExactSizeIterator<Item = &[Member]> {
-        self.by_data_centre.values().map(Vec::as_slice)
+    /// The data centres that have instances, in order of their names.
+    pub(crate) fn data_centres(&self) -> impl ExactSizeIterator<Item = &DataCentre> {
+        self.by_data_centre.keys()
     }
 }
 
--- a/crates/gullspar_direct/src/groups/failover.rs
+++ b/crates/gullspar_direct/src/groups/failover.rs
@@ -127,7 +127,7 @@
         ranking.push(self.own.clone());
         let holder = self.group.claims().holder().cloned();
         ranking.sort_by_key(|it| {
-            (Some(it) != holder.as_ref(), homes::weight(self.group.name.as_str(), it))
+            (Some(it) != holder.as_ref(), homes::weight(self.group.name.as_str(), it.as_str()))
         });
         ranking.iter().position(|it| *it == self.own).unwrap_or(0) as u32
     }
--- a/crates/gullspar_direct/src/lib.rs
+++ b/crates/gullspar_direct/src/lib.rs
@@ -19,6 +19,8 @@
 pub use configuration::directory::Directory;
 pub use configuration::snapshot::{Snapshot, SnapshotRequest};
 pub use fleet::heartbeat::{GroupView, Heartbeat, LeaderHealth};
+pub use fleet::home_placement::{Allowance, HomeInputs};
+pub use fleet::homes;
 pub use fleet::members::Members;
 pub use fleet::peer_message::PeerMessage;
 pub use fleet::peer_table::PeerTable;
--- a/crates/gullspar_direct/src/proxy.rs
+++ b/crates/gullspar_direct/src/proxy.rs
@@ -10,7 +10,7 @@
 use gullspar_model::{DataCentre, GroupName, InstanceId};
 
 use crate::fleet::discovery::Discovery;
-use crate::fleet::home_plan::HomePlan;
+use crate::fleet::home_plan::{HomePlan, OwnGroups};
 use crate::fleet::limits::Limits;
 use crate::groups::group::Group;
 use crate::{Borders, Directory, Member, PartitionState, PeerTable, Phase, Shutdown};
@@ -67,6 +67,7 @@
     pub(crate) forwarded_groups: RefCell<BTreeMap<GroupName, Instant>>,
     /// The homes of groups, as last computed.
     pub(crate) home_plans: RefCell<BTreeMap<GroupName, HomePlan>>,
+    pub(crate) own_groups: RefCell<OwnGroups>,
     pub(crate) limits: Limits,
     /// When the platform's store last answered this instance.
     pub(crate) last_store_contact: RefCell<Option<BootInstant>>,
@@ -90,6 +91,7 @@
             avoided_homes: RefCell::default(),
             forwarded_groups: RefCell::default(),
             home_plans: RefCell::default(),
+            own_groups: RefCell::default(),
             limits: Limits::default(),
             last_store_contact: RefCell::new(None),
             started,
