--- a/crates/gullspar_group/src/promotion.rs
+++ b/crates/gullspar_group/src/promotion.rs
@@ -7,7 +7,7 @@
 use futures::stream::FuturesUnordered;
 use gullspar_border::{ConfigEntry, ObjectVersion, PlatformError, within};
 use gullspar_model::{
-    GroupObject, Guard, LogPoint, MemberName, MemberSpec, MemberStatus, Term, TermStart,
+    ClaimId, GroupObject, Guard, LogPoint, MemberName, MemberSpec, MemberStatus, Term, TermStart,
     should_pause_promotion_after,
 };
 use quick_error::quick_error;
@@ -127,7 +127,7 @@
         let nonce = self.watch.borders().entropy.next_u64();
         let claimed = GroupObject {
             claimed: object.claimed.next(),
-            claim: format!("{}-{nonce:016x}", self.watch.fleet.id()),
+            claim: ClaimId::new(&self.watch.fleet.id(), nonce),
             ..object
         };
         let version = self.put(version, &claimed).await?;
--- a/crates/gullspar_group/src/suspicion.rs
+++ b/crates/gullspar_group/src/suspicion.rs
@@ -108,7 +108,7 @@
     /// Without this check each instance that detects the failure would add a claim of its own. Each claim fences the
     /// members that the previous claimant was about to promote, so that no promotion succeeds.
     fn is_being_promoted(&self, object: &GroupObject) -> bool {
-        if object.claimed <= object.term || object.claim.starts_with(self.fleet.id().as_str()) {
+        if object.claimed <= object.term || object.claim.is_by(&self.fleet.id()) {
             return false;
         }
         let now = self.now();
--- a/crates/gullspar_model/src/group_object.rs
+++ b/crates/gullspar_model/src/group_object.rs
@@ -1,6 +1,6 @@
 //! The platform's object for a group: its primary and the claim to promote another one.
 
-use crate::{LogPoint, MemberName, Term};
+use crate::{ClaimId, LogPoint, MemberName, Term};
 
 crate::record! {
     /// The point in the log after which a term's records start.
@@ -18,7 +18,7 @@
         /// The highest term claimed; only the claimant may promote under it.
         pub claimed: Term,
         /// Unique id of the claim, by which a claimant recognizes its own claim if the answer was lost.
-        pub claim: String,
+        pub claim: ClaimId,
         /// The term under which `primary` leads.
         pub term: Term,
         pub primary: Option<MemberName>,
@@ -47,7 +47,7 @@
     pub fn unclaimed() -> GroupObject {
         GroupObject {
             claimed: Term(0),
-            claim: String::new(),
+            claim: ClaimId::default(),
             term: Term(0),
             primary: None,
             history: Vec::new(),
--- a/crates/gullspar_model/src/lib.rs
+++ b/crates/gullspar_model/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod access;
 mod caller_class;
+mod claim_id;
 mod fence;
 mod group_object;
 mod group_spec;
@@ -24,6 +25,7 @@
 
 pub use access::Access;
 pub use caller_class::{CallerClass, Consistency};
+pub use claim_id::ClaimId;
 pub use fence::FenceDecision;
 pub use group_object::{GroupObject, TermStart};
 pub use group_spec::GroupSpec;
