Let instances that start get configuration and targets from the others

Cause: each instance lists configuration and targets itself when it starts, some seven calls and a megabyte with 3,000 targets.

Change: after discovery only followers of the store list it. The others take the lists from whichever instance has them, and list them themselves if nothing arrived after 5 ms an instance of the fleet, so that 200 a second do at any size. Weighed against lists from the store's cache (docs/design/fleet.md).

Tests: `an_instance_that_starts_leaves_the_store_to_the_followers`, `an_instance_that_gets_no_list_from_others_lists_the_store`.

--- a/crates/gullspar_direct/tests/updates.rs
+++ b/crates/gullspar_direct/tests/updates.rs
@@ -81,3 +81,45 @@
         assert!(delays.min().unwrap() >= Duration::from_millis(50 * u64::from(LARGE_FLEET)));
     });
 }
+
+/// Guards against a start of many instances that each list the store, which exceeds its rate and fills its link.
+#[test]
+fn an_instance_that_starts_leaves_the_store_to_the_followers() {
+    run(async {
+        let world = World::new();
+        let running: Vec<Rc<Proxy>> = (1..=LARGE_FLEET).map(|it| world.instance(it)).collect();
+        wait_for_membership(&world, &running).await;
+        running.iter().for_each(|it| it.record_store_answer());
+        let mut started = Vec::new();
+        for number in LARGE_FLEET + 1..=LARGE_FLEET + 4 {
+            let proxy = world.instance_without_configuration(number);
+            let due = proxy.start_list_due().await;
+            started.push((proxy, due));
+        }
+        wait_until(UPDATE_TIMEOUT, "all but the followers leave the store alone", || {
+            started.iter().filter(|(it, due)| !it.should_list_store(*due)).count() >= 2
+        })
+        .await;
+        let (other, _) = started.iter().find(|(it, due)| !it.should_list_store(*due)).unwrap();
+        wait_until(UPDATE_TIMEOUT, "it has the lists of others", || other.directory.is_usable())
+            .await;
+    });
+}
+
+/// Guards against an instance that starts among others without lists, follows nobody and never lists the store.
+#[test]
+fn an_instance_that_gets_no_list_from_others_lists_the_store() {
+    run(async {
+        let world = World::new();
+        let start = |it| world.instance_without_configuration(it);
+        let proxies: Vec<Rc<Proxy>> = (1..=LARGE_FLEET).map(start).collect();
+        let due = proxies[0].start_list_due().await;
+        wait_for_membership(&world, &proxies).await;
+        let longest = Duration::from_millis(5) * u32::from(LARGE_FLEET) * 3 / 2;
+        assert!(due <= world.clock.now() + longest);
+        wait_until(1000, "each lists the store", || {
+            proxies.iter().all(|it| it.should_list_store(due))
+        })
+        .await;
+    });
+}
