Split the execution of statements from a session's loop

The second moves to statement_execution.rs unchanged; fields that both use are visible in the folder. No behaviour changes.

--- a/crates/gullspar_direct/src/session/mod.rs
+++ b/crates/gullspar_direct/src/session/mod.rs
@@ -9,4 +9,5 @@
 pub(crate) mod request;
 pub(crate) mod session_values;
 pub(crate) mod shutdown;
+mod statement_execution;
 pub(crate) mod trace;
