--- a/crates/gullspar_customer/tests/support/fleet.rs
+++ b/crates/gullspar_customer/tests/support/fleet.rs
@@ -1,12 +1,9 @@
 //! A simulated fleet that serves one customer, on one thread.
 
-use std::collections::{BTreeMap, VecDeque};
-use std::time::Duration;
+use std::collections::BTreeMap;
 
 use gullspar_border::BootInstant;
-use gullspar_customer::{
-    ConsumeOutcome, LeasedTokens, OwnedQuotas, QuotaHandover, RateLimit, TokenGrant, TokenRequest,
-};
+use gullspar_customer::{ConsumeOutcome, QuotaHandover, RateLimit, TokenGrant, TokenRequest};
 use gullspar_membership::Reach;
 use gullspar_model::CustomerName;
 
