--- a/crates/gullspar_customer/tests/support/fleet.rs
+++ b/crates/gullspar_customer/tests/support/fleet.rs
@@ -4,7 +4,6 @@
 
 use gullspar_border::BootInstant;
 use gullspar_customer::{ConsumeOutcome, QuotaHandover, RateLimit, TokenGrant, TokenRequest};
-use gullspar_membership::Reach;
 use gullspar_model::CustomerName;
 
 use super::event::Event;
