Drop the starts that leave the store to its followers

What was expected: that lists of targets and configuration at the start make most of the fleet's calls to the store. At the first start the registry is empty, so each instance takes itself for one of few and lists as before.

--- a/crates/gullspar_direct/src/configuration/store_contact.rs
+++ b/crates/gullspar_direct/src/configuration/store_contact.rs
@@ -1,6 +1,6 @@
 //! Decides which instances follow the platform's store, and tracks whether the store answers this instance.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use gullspar_border::jittered;
 
@@ -25,31 +25,7 @@
 /// that retried as often as the followers do would overload the store.
 const RETRY_DELAY_PER_INSTANCE: Duration = Duration::from_millis(100);
 
-/// How long an instance that starts waits for another one's configuration and targets before it lists them itself, per
-/// instance of the fleet.
-///
-/// A list of thousands of targets takes several calls. If all instances that start at the same time listed them, they would
-/// exceed the store's rate and fill its link; so spread, their number a second does not depend on the size of the fleet.
-const START_LIST_DELAY_PER_INSTANCE: Duration = Duration::from_millis(5);
-
 impl Proxy {
-    /// When an instance that got nothing from the others since its start lists the store itself. Known once discovery
-    /// has finished.
-    pub async fn start_list_due(&self) -> Instant {
-        self.discovery.wait().await;
-        let longest = START_LIST_DELAY_PER_INSTANCE * self.members().len() as u32;
-        self.borders.clock.now() + jittered(&*self.borders.entropy, longest)
-    }
-
-    /// Whether this instance has to list the store, which it has not done yet: it follows the store, or no other instance has
-    /// supplied a configuration and targets by `due`.
-    pub fn should_list_store(&self, due: Instant) -> bool {
-        if self.directory.is_usable() {
-            return self.should_follow_store();
-        }
-        self.is_store_follower() || self.borders.clock.now() >= due
-    }
-
     /// Whether this instance follows the platform's store itself.
     ///
     /// In a small fleet all instances do. In a larger one a few in each data centre do and the others receive changes from
