Send a refutation at once instead of with the next regular heartbeat

Trace of the simulation: 143 heard of the suspicion at 670.368 s and raised its incarnation, but only updates about others start a round early, so that the refutation waited for the next regular round. It stalled again at 670.549 s for 447 ms, before that round, and seven instances declared it dead 600 ms after the suspicion.

Change: a raised incarnation starts the next two rounds early, as updates about others do.

Ruled out: renewals of the suspicion that get lost on the way; counting them by the suspect's own heartbeats left the same seven deaths (trial, dropped).

--- a/crates/gullspar_membership/src/membership.rs
+++ b/crates/gullspar_membership/src/membership.rs
@@ -10,7 +10,7 @@
 use crate::member_table::MemberTable;
 use crate::timing::{
     JOIN_FANOUT, MAX_ANSWER_RECORDS, MAX_FULL_MESH_PEERS, MAX_PROBE_TRIES, MAX_SYNC_RECORDS,
-    PAUSE_DETECTED_AFTER, PROBE_FANOUT, REVIVE_ROUND_INTERVAL,
+    PAUSE_DETECTED_AFTER, PROBE_FANOUT, REVIVE_ROUND_INTERVAL, UPDATE_ROUNDS,
 };
 use crate::{Gossip, Member, MemberRecord, MemberState, Proximity, Reach};
 
@@ -39,6 +39,8 @@
 #[derive(Debug)]
 pub struct Membership {
     own: MemberRecord,
+    /// Number of rounds that are started early, so that others soon learn of a change of `own`.
+    own_rounds_left: u32,
     table: MemberTable,
     links: Links,
     /// The generation of the member table that the links were chosen for.
@@ -69,6 +71,7 @@
         Membership {
             table: MemberTable::new(own.member.data_centre.clone()),
             own,
+            own_rounds_left: 0,
             links: Links::default(),
             links_generation: None,
             probe_addresses: seeds.collect(),
@@ -94,12 +97,14 @@
         if self.own.leaving != leaving {
             self.own.leaving = leaving;
             self.own.incarnation += 1;
+            self.own_rounds_left = UPDATE_ROUNDS;
         }
     }
 
     /// Begins a round of heartbeats; returns the addresses to send one to.
     pub fn begin_round(&mut self, random: u64, now: BootInstant) -> Vec<SocketAddr> {
         self.rounds += 1;
+        self.own_rounds_left = self.own_rounds_left.saturating_sub(1);
         self.counted = self.counted(now);
         self.choose_links(now);
         self.round_updates = self.table.next_updates(now);
@@ -255,6 +260,8 @@
             || (record.incarnation == own.incarnation && !is_accurate);
         if should_refute {
             own.incarnation = record.incarnation + 1;
+            // A refutation that waits for the next regular round may come too late: a busy instance may stall again.
+            self.own_rounds_left = UPDATE_ROUNDS;
         }
         should_refute
     }
@@ -279,7 +286,7 @@
 
     /// Whether updates are pending, so that the next round should start early.
     pub fn has_updates(&self) -> bool {
-        self.table.has_updates()
+        self.own_rounds_left > 0 || self.table.has_updates()
     }
 
     /// A number that increases with each newer record of another instance. It does not change when a
--- a/crates/gullspar_membership/tests/fleet.rs
+++ b/crates/gullspar_membership/tests/fleet.rs
@@ -8,6 +8,7 @@
 
 use std::collections::BTreeSet;
 
+use gullspar_membership::{MemberRecord, MemberState};
 use support::{Fleet, MS, S};
 use test_case::test_case;
 
@@ -298,3 +299,25 @@
     (0..40).for_each(|it| fleet.instances[it].partition = 0);
     fleet.run_until(10_000, "all instances know all others", Fleet::all_know_all);
 }
+
+/// Guards against a refutation that waits for the next regular heartbeat: a busy instance may stall again and be
+/// declared dead before it.
+#[test]
+fn refutation_is_sent_before_the_next_regular_heartbeat() {
+    let mut fleet = fleet(20, 1);
+    let now = fleet.boot_now();
+    let address = "10.1.0.4:7440".parse().unwrap();
+    let own_record = fleet.instances[7].membership.gossip_for(address, now).from;
+    let mut gossip = fleet.instances[4].membership.gossip_for(address, now);
+    gossip.updates = vec![MemberRecord { state: MemberState::Suspect, ..own_record }];
+    let suspected = &mut fleet.instances[7].membership;
+    assert!(suspected.handle_gossip(&gossip, now).has_updates);
+    for _ in 0..2 {
+        assert!(
+            suspected.has_updates(),
+            "a round is due at once, twice in case a datagram is lost"
+        );
+        suspected.begin_round(0, now);
+    }
+    assert!(!suspected.has_updates());
+}
