--- a/crates/gullspar_direct/src/configuration/store_contact.rs
+++ b/crates/gullspar_direct/src/configuration/store_contact.rs
@@ -13,6 +13,9 @@
 /// Fleet size up to which all instances follow the store.
 const MAX_INSTANCES_ALL_FOLLOWING: usize = 16;
 
+/// Time after its start in which an instance may not know most of the others yet.
+const MEMBERSHIP_COMPLETE_AFTER: Duration = Duration::from_millis(800);
+
 /// Number of instances of a data centre that follow the store in a larger fleet.
 const FOLLOWERS_PER_DATA_CENTRE: usize = 2;
 
@@ -31,7 +34,15 @@
     /// In a small fleet all instances do. In a larger one a few in each data centre do and the others receive changes from
     /// them, which limits the number of calls to the store. If no live instance reaches the store, all try.
     pub fn should_follow_store(&self) -> bool {
-        self.is_store_follower() || self.is_store_unreachable_for_all()
+        self.knows_fleet_size() && (self.is_store_follower() || self.is_store_unreachable_for_all())
+    }
+
+    /// Whether the known members tell how large the fleet is.
+    ///
+    /// An instance that has just started takes a large fleet for a small one. If all instances of a fleet that starts
+    /// followed the store until they know each other, these would be most of its calls.
+    fn knows_fleet_size(&self) -> bool {
+        !self.has_seeds || self.borders.clock.now() >= self.started + MEMBERSHIP_COMPLETE_AFTER
     }
 
     /// Whether this instance is one of the store's followers.
--- a/crates/gullspar_direct/src/proxy.rs
+++ b/crates/gullspar_direct/src/proxy.rs
@@ -72,6 +72,8 @@
     /// When the platform's store last answered this instance.
     pub(crate) last_store_contact: RefCell<Option<BootInstant>>,
     pub(crate) started: Instant,
+    /// Whether the settings name other instances.
+    pub(crate) has_seeds: bool,
     /// Whether the instance has been able to serve callers since its start.
     pub(crate) was_able_to_serve: Cell<bool>,
 }
@@ -80,6 +82,7 @@
     /// Creates a proxy that knows no other instance; `seeds` are the addresses to find some at.
     pub fn new(own: Identity, seeds: Vec<SocketAddr>, borders: Borders) -> Rc<Proxy> {
         let started = borders.clock.now();
+        let has_seeds = !seeds.is_empty();
         Rc::new(Proxy {
             borders,
             peers: Rc::new(PeerTable::new(own.member(), seeds)),
@@ -95,6 +98,7 @@
             limits: Limits::default(),
             last_store_contact: RefCell::new(None),
             started,
+            has_seeds,
             was_able_to_serve: Cell::new(false),
         })
     }
