Continue forwarded sessions elsewhere when their home stops answering

A session stayed with a silent home until TCP gave up after 3 to 4 s, and its statements then ended unknown, reads included. An opening waited 400 ms for each silent home in turn.

Now a home that answers neither a statement nor probes is unresponsive for all sessions and openings of this instance. The relay keeps the session's values, prepared statements, newest own commit and unanswered statements. When the home is lost, reads outside a transaction are repeated at another home, or here, with the session restored there; writes and commits that may have run end unknown; transactions whose commit was not sent are rolled back; idle sessions move at their next statement, also after a broken connection, which closed them before.

--- a/crates/gullspar_direct/src/fleet/heartbeats.rs
+++ b/crates/gullspar_direct/src/fleet/heartbeats.rs
@@ -140,6 +140,8 @@
             PeerMessage::TokenRequest(req) => self.answer_token_request(&req),
             PeerMessage::TokenGrant(grant) => self.apply_grant(&grant),
             PeerMessage::QuotaHandover(handover) => self.apply_quota_handover(&handover),
+            PeerMessage::HomeProbe(probe) => self.answer_home_probe(&probe),
+            PeerMessage::HomeProbeAnswer(answer) => self.apply_home_probe_answer(&answer),
         }
     }
 
@@ -148,6 +150,7 @@
         if *heartbeat.from() == self.own.id {
             return;
         }
+        self.record_home_heartbeat(heartbeat.from());
         let now = self.borders.clock.boot_now();
         for view in &heartbeat.views {
             if let (Some(claim), Some(group)) = (&view.claim, self.group(&view.group)) {
--- a/crates/gullspar_direct/src/fleet/home_groups.rs
+++ b/crates/gullspar_direct/src/fleet/home_groups.rs
@@ -156,9 +156,7 @@
         // Spreads sessions over the homes.
         let offset = self.borders.entropy.next_u64() as usize % count.max(1);
         ranked[..count].rotate_left(offset);
-        let now = self.borders.clock.now();
-        let avoided = self.avoided_homes.borrow();
-        ranked.sort_by_key(|it| avoided.get(&it.id).is_some_and(|until| now < *until));
+        ranked.sort_by_key(|it| self.is_avoided(&it.id) || self.is_unresponsive(&it.id));
         let first = ranked.first()?;
         if first.id == self.own.id {
             self.hold_group(group);
@@ -177,6 +175,12 @@
         avoided.insert(id.clone(), now + HOME_AVOIDANCE_PERIOD);
     }
 
+    /// Whether [`Proxy::avoid_home`] was called for the home recently.
+    pub(crate) fn is_avoided(&self, id: &InstanceId) -> bool {
+        let now = self.borders.clock.now();
+        self.avoided_homes.borrow().get(id).is_some_and(|until| now < *until)
+    }
+
     /// Whether this instance is no longer a home of `group` and keeps it only for open sessions.
     pub(crate) fn is_giving_up(&self, group: &GroupName) -> bool {
         self.group(group).is_some_and(|it| it.release_at().is_some())
--- a/crates/gullspar_direct/src/fleet/home_health.rs
+++ b/crates/gullspar_direct/src/fleet/home_health.rs
@@ -45,7 +45,7 @@
     /// The home became unresponsive.
     Unresponsive { home: InstanceId, silent_for: Duration, probes: u32 },
     /// Nothing was received from the home for so long that it is tried again like an unknown one.
-    Forgotten { home: InstanceId },
+    VerdictEnded { home: InstanceId },
 }
 
 /// The homes to which this instance forwards sessions.
@@ -62,7 +62,8 @@
     pub fn sent(&mut self, home: &InstanceId, address: SocketAddr, now: Instant) -> UnansweredKey {
         let state = self.homes.entry(home.clone()).or_insert_with(|| HomeState::new(address));
         if state.address != address {
-            *state = HomeState::new(address);
+            state.address = address;
+            state.connection_lost();
         }
         let key = state.sent(now);
         if state.has_single_unanswered() {
@@ -127,14 +128,10 @@
             self.next_poll.map_or(Duration::ZERO, |it| now.saturating_duration_since(it));
         let mut events = Vec::new();
         self.probes.retain(|_, it| now < it.at + PROBE_TTL);
-        self.homes.retain(|home, state| {
-            let is_over = state.is_verdict_over(now);
-            if is_over {
-                events.push(HomeEvent::Forgotten { home: home.clone() });
-            }
-            !is_over
-        });
         for (home, state) in &mut self.homes {
+            if state.end_verdict(now) {
+                events.push(HomeEvent::VerdictEnded { home: home.clone() });
+            }
             if lateness >= PAUSE_DETECTED_AFTER {
                 state.discount_pause();
             }
--- a/crates/gullspar_direct/src/fleet/home_state.rs
+++ b/crates/gullspar_direct/src/fleet/home_state.rs
@@ -130,9 +130,13 @@
         self.unresponsive_until.is_some_and(|until| now < until)
     }
 
-    /// Whether the home has been unresponsive for [`VERDICT_PERIOD`].
-    pub(crate) fn is_verdict_over(&self, now: Instant) -> bool {
-        self.unresponsive_until.is_some_and(|until| now >= until)
+    /// Ends a verdict that has lasted for [`VERDICT_PERIOD`]; returns whether there was one.
+    pub(crate) fn end_verdict(&mut self, now: Instant) -> bool {
+        let is_over = self.unresponsive_until.take_if(|until| now >= *until).is_some();
+        if is_over {
+            self.connection_lost();
+        }
+        is_over
     }
 
     /// Begins to observe a silence anew, because this instance was paused.
--- a/crates/gullspar_direct/src/fleet/peer_message.rs
+++ b/crates/gullspar_direct/src/fleet/peer_message.rs
@@ -3,7 +3,7 @@
 use gullspar_customer::{QuotaHandover, TokenGrant, TokenRequest};
 use gullspar_model::record;
 
-use crate::Heartbeat;
+use crate::{Heartbeat, HomeProbe, HomeProbeAnswer};
 
 record! {
     /// The content of one datagram.
@@ -12,5 +12,7 @@
         TokenRequest(TokenRequest),
         TokenGrant(TokenGrant),
         QuotaHandover(QuotaHandover),
+        HomeProbe(HomeProbe),
+        HomeProbeAnswer(HomeProbeAnswer),
     }
 }
--- a/crates/gullspar_direct/src/proxy.rs
+++ b/crates/gullspar_direct/src/proxy.rs
@@ -10,6 +10,7 @@
 use gullspar_model::{DataCentre, GroupName, InstanceId};
 
 use crate::fleet::discovery::Discovery;
+use crate::fleet::home_monitor::HomeMonitor;
 use crate::fleet::home_plan::{HomePlan, OwnGroups};
 use crate::fleet::limits::Limits;
 use crate::groups::group::Group;
@@ -63,6 +64,8 @@
     pub(crate) groups: RefCell<BTreeMap<GroupName, Rc<Group>>>,
     /// Homes that could not serve a session, and until when they are tried only after all others.
     pub(crate) avoided_homes: RefCell<BTreeMap<InstanceId, Instant>>,
+    /// Whether the homes to which sessions are forwarded respond.
+    pub(crate) home_monitor: HomeMonitor,
     /// Groups served here for sessions that other instances forwarded, and until when.
     pub(crate) forwarded_groups: RefCell<BTreeMap<GroupName, Instant>>,
     /// The homes of groups, as last computed.
@@ -89,6 +92,7 @@
             discovery: Discovery::default(),
             groups: RefCell::default(),
             avoided_homes: RefCell::default(),
+            home_monitor: HomeMonitor::default(),
             forwarded_groups: RefCell::default(),
             home_plans: RefCell::default(),
             own_groups: RefCell::default(),
@@ -99,13 +103,14 @@
         })
     }
 
-    /// Runs the background tasks: heartbeats, updates from other instances, discovery, and the maintenance of groups and
-    /// limits. Never ends.
+    /// Runs the background tasks: heartbeats, updates from other instances, discovery, probes of unresponsive homes, and the
+    /// maintenance of groups and limits. Never ends.
     pub async fn run(self: Rc<Self>) {
         compio::runtime::spawn(Rc::clone(&self).send_heartbeats()).detach();
         compio::runtime::spawn(Rc::clone(&self).sync_from_peers()).detach();
         compio::runtime::spawn(Rc::clone(&self).monitor_connectivity()).detach();
         compio::runtime::spawn(Rc::clone(&self).discover_instances()).detach();
+        compio::runtime::spawn(Rc::clone(&self).monitor_homes()).detach();
         loop {
             let changed = self.directory.listen();
             let now = self.borders.clock.now();
--- a/crates/gullspar_direct/src/session/caller_opening.rs
+++ b/crates/gullspar_direct/src/session/caller_opening.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use gullspar_model::{CustomerName, GroupName, NotRun};
+use gullspar_model::{CustomerName, NotRun};
 use gullspar_statement::{
     Answer, CallerLink, CallerLinkError, CallerMessage, Failure, FailureCode, TransactionStatus,
 };
@@ -10,59 +10,94 @@
 use crate::session::caller_session::{Session, no_such_service};
 use crate::session::opening::Opening;
 use crate::session::refusal;
-use crate::session::relay::{self, Relay};
-use crate::{ForwardedSession, Member, Proxy, Route};
+use crate::session::relay::{self, Relay, RelayEnd};
+use crate::session::session_start::SessionStart;
+use crate::{ForwardedSession, Member, Proxy, RelayMessage, RelayedLink, Route};
 
 /// Serves one caller until it disconnects or the instance shuts down.
 pub async fn serve_caller(proxy: Rc<Proxy>, link: Box<dyn CallerLink>) {
-    serve(proxy, link, None).await;
+    serve(&proxy, open(&proxy, link)).await;
 }
 
 /// Serves a caller whose session another instance has forwarded; the session is not forwarded again.
 pub async fn serve_relayed_caller(
     proxy: Rc<Proxy>,
-    link: Box<dyn CallerLink>,
+    link: Box<dyn RelayedLink>,
     forwarded: ForwardedSession,
 ) {
-    serve(proxy, link, Some(forwarded)).await;
+    serve(&proxy, open_forwarded(&proxy, link, forwarded)).await;
 }
 
-async fn serve(proxy: Rc<Proxy>, link: Box<dyn CallerLink>, forwarded: Option<ForwardedSession>) {
+async fn serve(proxy: &Proxy, session: impl Future<Output = Result<(), CallerLinkError>>) {
     proxy.shutdown.session_opened();
-    if let Err(err) = open(&proxy, link, forwarded).await {
+    if let Err(err) = session.await {
         log::debug!(reason = err.to_string().as_str(); "G0728 a caller's session ended with an error");
     }
     proxy.shutdown.session_closed();
 }
 
 /// Reads the opening message, then serves the session here or forwards it.
-async fn open(
+async fn open(proxy: &Rc<Proxy>, mut link: Box<dyn CallerLink>) -> Result<(), CallerLinkError> {
+    let first = link.next().await?;
+    proxy.discovery.wait().await;
+    let Some(opening) = read_opening(first, &mut *link).await? else { return Ok(()) };
+    let Admitted { route, customer } = match admit(proxy, &opening, None).await {
+        Ok(admitted) => admitted,
+        Err(answer) => return link.reply(&answer).await,
+    };
+    let other_homes = proxy.other_homes(&route.group);
+    match other_homes.or_else(|| proxy.forwarding_candidates(&route.group)) {
+        Some(homes) => forward(proxy, link, opening, route, &homes).await,
+        None => Session::serve_session(proxy, link, SessionStart::new(opening, customer)).await,
+    }
+}
+
+/// Reads the message that opens or restores a forwarded session, then serves the session.
+async fn open_forwarded(
     proxy: &Rc<Proxy>,
-    mut link: Box<dyn CallerLink>,
-    forwarded: Option<ForwardedSession>,
+    mut link: Box<dyn RelayedLink>,
+    forwarded: ForwardedSession,
 ) -> Result<(), CallerLinkError> {
-    let opening = link.next().await?;
+    let first = link.first().await?;
     proxy.discovery.wait().await;
-    let failure = match opening {
-        Some(CallerMessage::Open { service, key }) => {
-            let opening = Opening { service, key };
-            match admit(proxy, &opening, forwarded.as_ref()).await {
-                Ok(Admitted { route, customer }) => {
-                    return serve_opened(proxy, link, opening, route, customer, forwarded).await;
-                }
-                Err(answer) => return link.reply(&answer).await,
+    let (opening, restored) = match first {
+        Some(RelayMessage::Restore(restored)) => (Opening::of(&restored), Some(restored)),
+        Some(RelayMessage::Caller(message)) => {
+            match read_opening(Some(message), &mut *link).await? {
+                Some(opening) => (opening, None),
+                None => return Ok(()),
             }
         }
-        Some(_) => Failure::new(
-            FailureCode::Malformed,
-            "the first message of a session must open a service",
-        ),
-        None => {
-            log::debug!("G0729 a caller disconnected without opening a session");
-            return Ok(());
-        }
+        Some(RelayMessage::Ended) | None => return Ok(()),
     };
-    link.reply(&Answer::failed(failure, TransactionStatus::Idle)).await
+    let Admitted { route, customer } = match admit(proxy, &opening, Some(&forwarded)).await {
+        Ok(admitted) => admitted,
+        Err(answer) => return link.reply(&answer).await,
+    };
+    let candidates = proxy.forwarding_candidates(&route.group);
+    proxy.hold_group(&route.group);
+    if candidates.is_some() {
+        return link.reply(&relay::no_home()).await;
+    }
+    let start = SessionStart::new(opening, customer).restored(restored);
+    Session::serve_session(proxy, link, start).await
+}
+
+/// The content of the first message; `None` if it opens no session, after the caller was told so.
+async fn read_opening(
+    first: Option<CallerMessage>,
+    link: &mut dyn CallerLink,
+) -> Result<Option<Opening>, CallerLinkError> {
+    match first {
+        Some(CallerMessage::Open { service, key }) => return Ok(Some(Opening { service, key })),
+        Some(_) => {
+            let text = "the first message of a session must open a service";
+            let failure = Failure::new(FailureCode::Malformed, text);
+            link.reply(&Answer::failed(failure, TransactionStatus::Idle)).await?;
+        }
+        None => log::debug!("G0729 a caller disconnected without opening a session"),
+    }
+    Ok(None)
 }
 
 /// The route and the customer of an admitted session.
@@ -108,40 +143,20 @@
     Ok(Admitted { route, customer })
 }
 
-/// Serves the session here or forwards it.
-async fn serve_opened(
-    proxy: &Rc<Proxy>,
-    mut link: Box<dyn CallerLink>,
-    opening: Opening,
-    route: Route,
-    customer: Option<CustomerName>,
-    forwarded: Option<ForwardedSession>,
-) -> Result<(), CallerLinkError> {
-    let candidates = proxy.forwarding_candidates(&route.group);
-    if forwarded.is_some() {
-        proxy.hold_group(&route.group);
-        if candidates.is_some() {
-            return link.reply(&relay::no_home()).await;
-        }
-        return Session::serve_session(proxy, link, opening, customer).await;
-    }
-    match proxy.other_homes(&route.group).or(candidates) {
-        Some(homes) => forward(proxy, link, opening, route.group, &homes).await,
-        None => Session::serve_session(proxy, link, opening, customer).await,
-    }
-}
-
+/// Forwards the session, and serves it here if it ends up here after its home was lost.
 async fn forward(
     proxy: &Rc<Proxy>,
-    mut link: Box<dyn CallerLink>,
+    link: Box<dyn CallerLink>,
     opening: Opening,
-    group: GroupName,
+    route: Route,
     homes: &[Member],
 ) -> Result<(), CallerLinkError> {
-    let forwarded = ForwardedSession { catalogue_version: proxy.directory.version(), group };
-    let Some((opened, home)) = relay::open(proxy, homes, &opening, &forwarded).await else {
-        return link.reply(&relay::no_home()).await;
-    };
-    link.reply(&opened).await?;
-    Relay::new(Rc::clone(proxy), link, opening, home).run().await
+    let forwarded =
+        ForwardedSession { catalogue_version: proxy.directory.version(), group: route.group };
+    let end = Relay::run(proxy, link, opening, forwarded, homes).await?;
+    let RelayEnd::ServeHere(session) = end else { return Ok(()) };
+    // The customer is looked up before each statement.
+    let start = SessionStart::new(session.opening, None).restored(Some(session.restored));
+    let start = start.continued_with(session.unanswered);
+    Session::serve_session(proxy, session.caller, start).await
 }
--- a/crates/gullspar_direct/src/session/caller_session.rs
+++ b/crates/gullspar_direct/src/session/caller_session.rs
@@ -1,5 +1,6 @@
 //! A caller's session that this instance serves.
 
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -10,6 +11,7 @@
 };
 
 use crate::session::opening::Opening;
+use crate::session::session_start::SessionStart;
 use crate::session::trace::Trace;
 use crate::writing::transaction::Transaction;
 use crate::{Phase, Proxy, Route, SessionValues};
@@ -32,6 +34,10 @@
     pub(super) trace: Trace,
     /// The access of the current statement; `None` if it needs no target.
     pub(super) target_access: Option<Access>,
+    /// Whether the next operation is a read that was already sent to another home.
+    pub(super) repeats_read: bool,
+    /// Messages to serve before those that arrive.
+    backlog: VecDeque<CallerMessage>,
     /// Whether the other side was asked to end the session; the session is served until the other side ends it.
     end_requested: bool,
 }
@@ -53,22 +59,25 @@
     pub(crate) async fn serve_session(
         proxy: &Rc<Proxy>,
         mut link: Box<dyn CallerLink>,
-        opening: Opening,
-        customer: Option<CustomerName>,
+        start: SessionStart,
     ) -> Result<(), CallerLinkError> {
-        link.reply(&Answer::done_locally(TransactionStatus::Idle)).await?;
+        if start.backlog.is_none() {
+            link.reply(&Answer::done_locally(TransactionStatus::Idle)).await?;
+        }
         let mut session = Session {
             proxy: Rc::clone(proxy),
             link,
-            opening,
-            customer,
-            values: SessionValues::default(),
-            own_commit: None,
+            opening: start.opening,
+            customer: start.customer,
+            values: start.values,
+            own_commit: start.own_commit,
             transaction: None,
             route: None,
             idle_deadline: None,
             trace: Trace::default(),
             target_access: None,
+            repeats_read: start.repeats_read,
+            backlog: start.backlog.unwrap_or_default(),
             end_requested: false,
         };
         let served = session.serve().await;
@@ -112,6 +121,9 @@
     }
 
     async fn next_event(&mut self) -> Result<Event, CallerLinkError> {
+        if let Some(message) = self.backlog.pop_front() {
+            return Ok(Event::Message(message));
+        }
         loop {
             let changed = self.proxy.shutdown.listen();
             if self.should_end_now() {
--- a/crates/gullspar_direct/src/session/opening.rs
+++ b/crates/gullspar_direct/src/session/opening.rs
@@ -5,7 +5,7 @@
 use gullspar_statement::{CallerMessage, Failure};
 
 use crate::session::refusal;
-use crate::{Proxy, Route};
+use crate::{Proxy, RestoredSession, Route};
 
 /// The content of a caller's opening message.
 #[derive(Clone, Debug)]
@@ -15,6 +15,11 @@
 }
 
 impl Opening {
+    /// The opening of a session that moves to this instance.
+    pub(crate) fn of(restored: &RestoredSession) -> Opening {
+        Opening { service: restored.service.clone(), key: restored.key }
+    }
+
     /// The message that opens the same session at another instance.
     pub(crate) fn message(&self) -> CallerMessage {
         CallerMessage::Open { service: self.service.clone(), key: self.key }
--- a/crates/gullspar_direct/src/session/refusal.rs
+++ b/crates/gullspar_direct/src/session/refusal.rs
@@ -31,3 +31,8 @@
 pub(crate) fn unknown_key() -> Failure {
     Failure::new(FailureCode::Unauthenticated, "the key is unknown; not run")
 }
+
+/// The failure for a statement in a transaction that has failed already.
+pub(crate) fn transaction_failed() -> Failure {
+    Failure::new(FailureCode::Malformed, "the transaction has failed and must be rolled back")
+}
--- a/crates/gullspar_direct/src/session/relay.rs
+++ b/crates/gullspar_direct/src/session/relay.rs
@@ -1,169 +1,129 @@
 //! Forwards a caller's session to a home: an instance that holds the connections to the session's group.
+//!
+//! If the home becomes unresponsive or its connection is lost, the session continues at another home, or here. See
+//! `docs/design/unresponsive-homes.md`.
 
+use std::collections::VecDeque;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use futures::future::{self, Either, LocalBoxFuture};
-use gullspar_border::{DeadlinePassed, PeerError, within};
-use gullspar_model::{InstanceId, NotRun, record};
+use futures::future::{self, Either};
+use gullspar_border::PeerError;
+use gullspar_model::NotRun;
 use gullspar_statement::{
     Answer, CallerLink, CallerLinkError, CallerMessage, Failure, FailureCode, TransactionStatus,
 };
 
+use crate::session::caller_session::no_such_service;
+use crate::session::forwarded_state::{ForwardedState, Recovery};
+use crate::session::home_opening::{self, Home};
 use crate::session::opening::Opening;
 use crate::session::refusal;
-use crate::{ForwardedSession, Member, Phase, Proxy};
-
-/// How long opening a session at a home may take before the next home is tried. This is long enough for the load after
-/// an outage, when all sessions are opened again.
-const OPEN_TIMEOUT: Duration = Duration::from_millis(400);
-
-record! {
-    /// What the instance that a caller is connected to sends to the home.
-    pub enum RelayMessage {
-        Caller(CallerMessage),
-        /// Reply to [`RelayReply::Ending`]: no more messages follow.
-        Ended,
-    }
-}
-
-record! {
-    /// What the home sends back.
-    pub enum RelayReply {
-        Answer(Answer),
-        /// The home wants to end the session; it still answers what was sent before.
-        ///
-        /// Without this message, closing the session could lose a request that is on its way between the two instances.
-        Ending,
-    }
-}
-
-/// A connection to a home, for one session.
-pub trait HomeLink {
-    /// Sends one message.
-    fn send<'a>(
-        &'a mut self,
-        message: &'a RelayMessage,
-    ) -> LocalBoxFuture<'a, Result<(), PeerError>>;
-
-    /// The next reply; `None` when the home has closed the connection. Cancel-safe.
-    fn next(&mut self) -> LocalBoxFuture<'_, Result<Option<RelayReply>, PeerError>>;
-}
-
-/// A home and the connection to it.
-pub(crate) struct Home {
-    id: InstanceId,
-    link: Box<dyn HomeLink>,
-}
-
-/// Opens a session at the first of `homes` that answers with anything but [`FailureCode::Congested`].
-///
-/// Returns the home and its answer, which may be another failure; `None` if there is no such home.
-pub(crate) async fn open(
-    proxy: &Proxy,
-    homes: &[Member],
-    opening: &Opening,
-    forwarded: &ForwardedSession,
-) -> Option<(Answer, Home)> {
-    let clock = &proxy.borders.clock;
-    for home in homes {
-        let deadline = clock.now() + OPEN_TIMEOUT;
-        let opened =
-            within(&**clock, deadline, open_at(proxy, home, opening, forwarded, deadline)).await;
-        let reason = match opened {
-            Ok(Ok((answer, link))) if !is_refusal(&answer) => {
-                return Some((answer, Home { id: home.id.clone(), link }));
-            }
-            Ok(Ok(_)) => "it can't serve the group".to_owned(),
-            Ok(Err(PeerError::NoAnswer(reason))) => reason,
-            Err(DeadlinePassed) => "the deadline passed".to_owned(),
-        };
-        proxy.avoid_home(&home.id);
-        log::info!(home = home.id.as_str(), reason = reason.as_str(); "G0746 a session could not be opened at a home");
-    }
-    None
-}
-
-async fn open_at(
-    proxy: &Proxy,
-    home: &Member,
-    opening: &Opening,
-    forwarded: &ForwardedSession,
-    deadline: Instant,
-) -> Result<(Answer, Box<dyn HomeLink>), PeerError> {
-    let peers = &proxy.borders.peers;
-    let mut link = peers.open_session(home.address, forwarded.clone(), deadline).await?;
-    link.send(&RelayMessage::Caller(opening.message())).await?;
-    match link.next().await? {
-        Some(RelayReply::Answer(answer)) => Ok((answer, link)),
-        Some(RelayReply::Ending) | None => Err(PeerError::NoAnswer("it disconnected".to_owned())),
-    }
-}
-
-/// Whether the home refused the session for a reason that may not apply to another home.
-fn is_refusal(answer: &Answer) -> bool {
-    answer.result.as_ref().is_err_and(|it| it.code == FailureCode::Congested)
-}
+use crate::{ForwardedSession, Member, Phase, Proxy, RelayMessage, RelayReply, RestoredSession};
 
 /// A caller's session that is forwarded to its home.
 pub(crate) struct Relay {
-    pub(crate) proxy: Rc<Proxy>,
-    pub(crate) caller: Box<dyn CallerLink>,
+    proxy: Rc<Proxy>,
+    caller: Box<dyn CallerLink>,
     opening: Opening,
-    home: Home,
-    /// Messages that are not yet answered.
-    unanswered: usize,
-    status: TransactionStatus,
+    /// `None` after the home was lost, until the next statement.
+    home: Option<Home>,
+    state: ForwardedState,
     /// Whether the home asked to end the session.
     ending: bool,
 }
 
+/// How forwarding a session ended.
+pub(crate) enum RelayEnd {
+    Closed,
+    /// The session continues here.
+    ServeHere(Box<HandedOver>),
+}
+
+/// A session that this instance serves from now on.
+pub(crate) struct HandedOver {
+    pub(crate) caller: Box<dyn CallerLink>,
+    pub(crate) opening: Opening,
+    pub(crate) restored: RestoredSession,
+    /// Messages that are not answered yet.
+    pub(crate) unanswered: VecDeque<CallerMessage>,
+}
+
 /// An event that a relay waits for.
 enum Event {
     Caller(Result<Option<CallerMessage>, CallerLinkError>),
     Home(Result<Option<RelayReply>, PeerError>),
-    Shutdown,
+    /// The shutdown's phase changed, or a home became unresponsive.
+    Changed,
+}
+
+/// What follows after an event was handled.
+enum Next {
+    Continue,
+    Close,
+    ServeHere,
+}
+
+/// The result of moving a session.
+enum Moved {
+    ToHome,
+    ToThisInstance,
+    /// The new home was lost at once.
+    Lost,
+    /// No instance can serve the session now; the caller has its answers.
+    Nowhere,
+    /// The session was refused for good; the caller has the answer.
+    Refused,
 }
 
 impl Relay {
-    pub(crate) fn new(
-        proxy: Rc<Proxy>,
-        caller: Box<dyn CallerLink>,
+    /// Opens the session at one of `homes` and forwards it until either side ends it.
+    pub(crate) async fn run(
+        proxy: &Rc<Proxy>,
+        mut caller: Box<dyn CallerLink>,
         opening: Opening,
-        home: Home,
-    ) -> Relay {
-        let status = TransactionStatus::Idle;
-        Relay { proxy, caller, opening, home, unanswered: 0, status, ending: false }
+        forwarded: ForwardedSession,
+        homes: &[Member],
+    ) -> Result<RelayEnd, CallerLinkError> {
+        let first = RelayMessage::Caller(opening.message());
+        let Some((opened, home)) = home_opening::open(proxy, homes, &first, &forwarded).await
+        else {
+            caller.reply(&no_home()).await?;
+            return Ok(RelayEnd::Closed);
+        };
+        caller.reply(&opened).await?;
+        let relay = Relay {
+            proxy: Rc::clone(proxy),
+            caller,
+            opening,
+            home: Some(home),
+            state: ForwardedState::new(),
+            ending: false,
+        };
+        relay.forward_all().await
     }
 
-    /// Forwards messages and answers until either side ends the session.
-    pub(crate) async fn run(mut self) -> Result<(), CallerLinkError> {
+    async fn forward_all(mut self) -> Result<RelayEnd, CallerLinkError> {
         loop {
             if self.can_end() {
-                return Ok(());
+                return Ok(RelayEnd::Closed);
             }
-            match self.next_event().await {
-                Event::Shutdown => {}
+            let next = match self.next_event().await {
+                Event::Changed => match self.waits_for_unresponsive_home() {
+                    true => self.recover().await?,
+                    false => Next::Continue,
+                },
                 Event::Caller(message) => match message? {
-                    None | Some(CallerMessage::Close) => return Ok(()),
-                    Some(message) => {
-                        if !self.forward(message).await? {
-                            return Ok(());
-                        }
-                    }
+                    None | Some(CallerMessage::Close) => Next::Close,
+                    Some(message) => self.forward(message).await?,
                 },
-                Event::Home(Ok(Some(RelayReply::Answer(answer)))) => {
-                    self.unanswered = self.unanswered.saturating_sub(1);
-                    self.status = answer.status;
-                    self.caller.reply(&answer).await?;
-                }
-                Event::Home(Ok(Some(RelayReply::Ending))) => {
-                    self.ending = true;
-                    if self.home.link.send(&RelayMessage::Ended).await.is_err() {
-                        return self.handle_home_loss().await;
-                    }
-                }
-                Event::Home(_) => return self.handle_home_loss().await,
+                Event::Home(Ok(Some(reply))) => self.handle_reply(reply).await?,
+                Event::Home(_) => self.handle_lost_connection().await?,
+            };
+            match next {
+                Next::Continue => {}
+                Next::Close => return Ok(RelayEnd::Closed),
+                Next::ServeHere => return Ok(self.hand_over()),
             }
         }
     }
@@ -171,15 +131,27 @@
     /// Whether no request is in progress and one of the two instances wants to end the session.
     fn can_end(&self) -> bool {
         let shutdown = &self.proxy.shutdown;
-        let is_due = match self.status {
+        let is_due = match self.state.status {
             TransactionStatus::Idle => self.ending || shutdown.should_close_idle(),
             _ => self.ending || shutdown.phase() >= Phase::ClosingAll,
         };
-        is_due && self.unanswered == 0 && (self.ending || self.caller.is_quiet())
+        is_due && self.state.unanswered.is_empty() && (self.ending || self.caller.is_quiet())
+    }
+
+    fn waits_for_unresponsive_home(&self) -> bool {
+        !self.state.unanswered.is_empty() && self.is_home_unresponsive()
+    }
+
+    fn is_home_unresponsive(&self) -> bool {
+        self.home.as_ref().is_some_and(|it| self.proxy.is_unresponsive(&it.member.id))
     }
 
     async fn next_event(&mut self) -> Event {
-        let changed = self.proxy.shutdown.listen();
+        let shutdown_changed = self.proxy.shutdown.listen();
+        let home_lost = self.proxy.home_monitor.listen();
+        if self.waits_for_unresponsive_home() {
+            return Event::Changed;
+        }
         let ending = self.ending;
         let caller = async {
             if ending {
@@ -189,12 +161,18 @@
                 self.caller.next().await
             }
         };
-        futures::pin_mut!(caller);
-        let home = self.home.link.next();
+        let home = async {
+            match &mut self.home {
+                Some(home) => home.link.next().await,
+                None => future::pending().await,
+            }
+        };
+        futures::pin_mut!(caller, home);
+        let changed = future::select(shutdown_changed, home_lost);
         match future::select(future::select(caller, home), changed).await {
             Either::Left((Either::Left((message, _)), _)) => Event::Caller(message),
             Either::Left((Either::Right((reply, _)), _)) => Event::Home(reply),
-            Either::Right(_) => Event::Shutdown,
+            Either::Right(_) => Event::Changed,
         }
     }
 
@@ -211,35 +189,190 @@
         }
     }
 
-    /// Forwards a message to the home; `false` if the session ends, after the caller was answered.
-    async fn forward(&mut self, message: CallerMessage) -> Result<bool, CallerLinkError> {
-        if self.unanswered == 0
+    /// Forwards a message to the home, or to another one if the home is lost.
+    async fn forward(&mut self, message: CallerMessage) -> Result<Next, CallerLinkError> {
+        if self.state.unanswered.is_empty()
             && let Err(failure) = self.check_key()
         {
             // Closing the session makes the home roll back an open transaction.
-            let answer = Answer::failed(failure, TransactionStatus::Idle);
-            self.caller.reply(&answer).await?;
-            return Ok(false);
+            return self.reply_and_close(Answer::failed(failure, TransactionStatus::Idle)).await;
         }
-        self.unanswered += 1;
-        if self.home.link.send(&RelayMessage::Caller(message)).await.is_err() {
-            self.handle_home_loss().await?;
-            return Ok(false);
+        let route = self.proxy.directory.route(&self.opening.service);
+        let timeout = route.map_or(Duration::ZERO, |it| Duration::from_millis(it.statement_ms));
+        self.state.push(message, self.proxy.borders.clock.now() + timeout);
+        if self.home.is_none() || self.is_home_unresponsive() {
+            return self.recover().await;
+        }
+        match self.send_unsent().await {
+            Ok(()) => Ok(Next::Continue),
+            Err(_) => self.handle_lost_connection().await,
         }
-        Ok(true)
     }
 
-    /// Avoids the home, and reports that the outcome of an unanswered request is unknown, because it may have run.
-    async fn handle_home_loss(&mut self) -> Result<(), CallerLinkError> {
-        log::info!(home = self.home.id.as_str(), unanswered = self.unanswered; "G0747 the connection to a session's home was lost");
-        self.proxy.avoid_home(&self.home.id);
-        if self.unanswered > 0 {
-            let failure =
-                refusal::unknown("the connection to the instance that served the session was lost");
-            self.caller.reply(&Answer::failed(failure, TransactionStatus::Idle)).await?;
+    /// Sends the home all messages that it does not have yet.
+    async fn send_unsent(&mut self) -> Result<(), PeerError> {
+        let Some(home) = &mut self.home else { return Ok(()) };
+        for unanswered in self.state.unanswered.iter_mut().filter(|it| it.observed.is_none()) {
+            unanswered.is_sent = true;
+            unanswered.observed = Some(self.proxy.statement_sent(&home.member));
+            home.link.send(&RelayMessage::Caller(unanswered.message.clone())).await?;
         }
         Ok(())
     }
+
+    async fn handle_reply(&mut self, reply: RelayReply) -> Result<Next, CallerLinkError> {
+        match reply {
+            RelayReply::Answer(answer) => {
+                self.state.apply(&answer);
+                let is_refused = is_unauthenticated(&answer);
+                self.caller.reply(&answer).await?;
+                // The home ends a session whose key is no longer valid.
+                Ok(if is_refused { Next::Close } else { Next::Continue })
+            }
+            RelayReply::Ending => {
+                self.ending = true;
+                let Some(home) = &mut self.home else { return Ok(Next::Continue) };
+                match home.link.send(&RelayMessage::Ended).await {
+                    Ok(()) => Ok(Next::Continue),
+                    Err(_) => self.handle_lost_connection().await,
+                }
+            }
+        }
+    }
+
+    async fn handle_lost_connection(&mut self) -> Result<Next, CallerLinkError> {
+        if let Some(home) = &self.home {
+            log::info!(home = home.member.id.as_str(), unanswered = self.state.unanswered.len(); "G0747 the connection to a session's home was lost");
+            self.proxy.avoid_home(&home.member.id);
+            self.proxy.home_connection_lost(&home.member.id);
+        }
+        self.recover().await
+    }
+
+    /// Gives up the home, and repeats or ends what is unanswered.
+    ///
+    /// Late answers of the home are dropped with its connection, and it rolls back an open transaction.
+    async fn recover(&mut self) -> Result<Next, CallerLinkError> {
+        let lost = self.home.take().map(|it| it.member.id);
+        let lost = lost.as_ref().map_or("-", |it| it.as_str());
+        self.ending = false;
+        self.state.unanswered.iter_mut().for_each(|it| it.observed = None);
+        loop {
+            match self.state.recovery() {
+                Recovery::Idle => return Ok(Next::Continue),
+                Recovery::InDoubt => {
+                    self.record_outcome(lost, "unknown");
+                    let failure = refusal::unknown("the instance that served the session was lost");
+                    let answer = Answer::failed(failure, TransactionStatus::Idle);
+                    return self.reply_and_close(answer).await;
+                }
+                Recovery::TransactionLost => {
+                    if self.state.status == TransactionStatus::Open {
+                        self.record_outcome(lost, "rolled_back");
+                    }
+                    if let Some(answer) = self.state.fail_transaction() {
+                        self.caller.reply(&answer).await?;
+                    }
+                }
+                Recovery::Repeat => match self.move_session(lost).await? {
+                    Moved::ToHome | Moved::Nowhere => return Ok(Next::Continue),
+                    Moved::ToThisInstance => return Ok(Next::ServeHere),
+                    Moved::Refused => return Ok(Next::Close),
+                    Moved::Lost => {}
+                },
+            }
+        }
+    }
+
+    /// Continues the session at another home, or here, and repeats the unanswered messages.
+    async fn move_session(&mut self, lost: &str) -> Result<Moved, CallerLinkError> {
+        let now = self.proxy.borders.clock.now();
+        if self.state.unanswered.front().is_some_and(|it| it.is_sent && now >= it.deadline) {
+            self.record_outcome(lost, "timed_out");
+            return self.fail_unanswered(|_| refusal::timed_out()).await;
+        }
+        let Some(route) = self.proxy.directory.route(&self.opening.service) else {
+            let failure = no_such_service(&self.opening.service);
+            self.reply_and_close(Answer::failed(failure, TransactionStatus::Idle)).await?;
+            return Ok(Moved::Refused);
+        };
+        let candidates = self.proxy.other_homes(&route.group);
+        let Some(homes) = candidates.or_else(|| self.proxy.forwarding_candidates(&route.group))
+        else {
+            self.record_move(lost, self.proxy.own.id.as_str(), "here");
+            return Ok(Moved::ToThisInstance);
+        };
+        let forwarded = ForwardedSession {
+            catalogue_version: self.proxy.directory.version(),
+            group: route.group,
+        };
+        let first = RelayMessage::Restore(self.state.restored(&self.opening));
+        let Some((answer, home)) =
+            home_opening::open(&self.proxy, &homes, &first, &forwarded).await
+        else {
+            self.record_outcome(lost, "not_run");
+            return self.fail_unanswered(no_home_failure).await;
+        };
+        if answer.result.is_err() {
+            self.reply_and_close(answer).await?;
+            return Ok(Moved::Refused);
+        }
+        self.record_move(lost, home.member.id.as_str(), "moved");
+        self.home = Some(home);
+        if self.send_unsent().await.is_ok() {
+            return Ok(Moved::ToHome);
+        }
+        self.home = None;
+        self.state.unanswered.iter_mut().for_each(|it| it.observed = None);
+        Ok(Moved::Lost)
+    }
+
+    /// Answers all unanswered messages with the failure for a message that was or was not sent before. The session stays
+    /// open and moves at its next statement.
+    async fn fail_unanswered(
+        &mut self,
+        failure: impl Fn(bool) -> Failure,
+    ) -> Result<Moved, CallerLinkError> {
+        while let Some(unanswered) = self.state.unanswered.pop_front() {
+            let answer = Answer::failed(failure(unanswered.is_sent), TransactionStatus::Idle);
+            self.caller.reply(&answer).await?;
+        }
+        Ok(Moved::Nowhere)
+    }
+
+    async fn reply_and_close(&mut self, answer: Answer) -> Result<Next, CallerLinkError> {
+        self.caller.reply(&answer).await?;
+        Ok(Next::Close)
+    }
+
+    fn record_move(&self, lost: &str, to: &str, outcome: &'static str) {
+        log::info!(service = self.opening.service.as_str(), from = lost, to = to, repeated = self.state.unanswered.len(); "G0780 a forwarded session continues at another instance");
+        self.proxy.borders.stats.home_lost(outcome);
+    }
+
+    fn record_outcome(&self, lost: &str, outcome: &'static str) {
+        log::info!(service = self.opening.service.as_str(), home = lost, outcome = outcome, unanswered = self.state.unanswered.len(); "G0781 what a session had in progress ended with its home");
+        self.proxy.borders.stats.home_lost(outcome);
+    }
+
+    fn hand_over(self) -> RelayEnd {
+        let restored = self.state.restored(&self.opening);
+        let unanswered = self.state.unanswered.into_iter().map(|it| it.message).collect();
+        let (caller, opening) = (self.caller, self.opening);
+        RelayEnd::ServeHere(Box::new(HandedOver { caller, opening, restored, unanswered }))
+    }
+}
+
+fn is_unauthenticated(answer: &Answer) -> bool {
+    answer.result.as_ref().is_err_and(|it| it.code == FailureCode::Unauthenticated)
+}
+
+/// The failure of a message while no home can serve its session.
+fn no_home_failure(is_sent: bool) -> Failure {
+    match is_sent {
+        true => refusal::unknown("the instance that served the session was lost"),
+        false => refusal::not_run(NotRun::Unreachable),
+    }
 }
 
 /// The answer when no home can serve the session.
--- a/crates/gullspar_direct/src/session/session_values.rs
+++ b/crates/gullspar_direct/src/session/session_values.rs
@@ -3,11 +3,14 @@
 use std::collections::BTreeMap;
 
 use arcstr::ArcStr;
+use gullspar_model::record;
 use gullspar_statement::Definition;
 
-/// The state of a caller's session that its statements depend on.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct SessionValues {
-    pub values: BTreeMap<ArcStr, ArcStr>,
-    pub prepared: BTreeMap<ArcStr, Definition>,
+record! {
+    /// The state of a caller's session that its statements depend on.
+    #[derive(Default)]
+    pub struct SessionValues {
+        pub values: BTreeMap<ArcStr, ArcStr>,
+        pub prepared: BTreeMap<ArcStr, Definition>,
+    }
 }
--- a/crates/gullspar_direct/src/session/statement_execution.rs
+++ b/crates/gullspar_direct/src/session/statement_execution.rs
@@ -77,7 +77,8 @@
             Action::RollBack => self.roll_back(&statement.id),
             Action::Commit => self.commit(&statement).await,
             _ if has_failed => {
-                self.malformed(&statement.id, "the transaction has failed and must be rolled back")
+                let failure = refusal::transaction_failed();
+                self.malformed(&statement.id, &failure.text)
             }
             Action::Begin { read_only } => self.begin(&statement.id, *read_only),
             Action::Set { name, value } => {
@@ -195,6 +196,11 @@
         if self.transaction.as_ref().is_some_and(|it| it.charged) {
             return Ok(());
         }
+        if std::mem::take(&mut self.repeats_read) {
+            // The first home may have counted the read, and a retry is never refused.
+            self.proxy.consume_retry_token(Some(&customer));
+            return Ok(());
+        }
         let Some(route) = self.proxy.directory.route(&self.opening.service) else { return Ok(()) };
         let deadline = self.proxy.borders.clock.now() + Duration::from_millis(route.statement_ms);
         let charged = self.proxy.consume_token(&customer, deadline).await;
--- a/crates/gullspar_direct/src/stats.rs
+++ b/crates/gullspar_direct/src/stats.rs
@@ -28,6 +28,8 @@
     limited: Counter<u64>,
     in_grace_period: Counter<u64>,
     connections: Counter<u64>,
+    unresponsive_homes: Counter<u64>,
+    lost_homes: Counter<u64>,
     sessions: Gauge<u64>,
     configuration: Gauge<u64>,
     partitioned: Gauge<u64>,
@@ -108,6 +110,15 @@
                 "gullspar_target_connections",
                 "Connections to targets, by event: opened, refused, or closed for another customer.",
             ),
+            unresponsive_homes: counter(
+                "gullspar_unresponsive_homes",
+                "Times that a home became unresponsive to this instance.",
+            ),
+            lost_homes: counter(
+                "gullspar_lost_homes",
+                "Forwarded sessions with a transaction or statements whose home was lost, and idle ones that moved, by \
+                 outcome: moved, here, rolled_back, unknown, timed_out or not_run.",
+            ),
             sessions: gauge("gullspar_sessions", "Callers connected."),
             configuration: gauge(
                 "gullspar_configuration_version",
@@ -178,6 +189,14 @@
         self.connections.add(1, &[KeyValue::new("event", event)]);
     }
 
+    pub(crate) fn home_unresponsive(&self) {
+        self.unresponsive_homes.add(1, &[]);
+    }
+
+    pub(crate) fn home_lost(&self, outcome: &'static str) {
+        self.lost_homes.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     pub(crate) fn record_gauges(&self, values: &GaugeValues) {
         self.sessions.record(values.sessions, &[]);
         self.configuration.record(values.configuration, &[]);
--- a/crates/gullspar_direct/tests/home_health.rs
+++ b/crates/gullspar_direct/tests/home_health.rs
@@ -29,7 +29,7 @@
     arriving: Vec<(u64, u64)>,
     probes: Vec<u64>,
     verdicts: Vec<u64>,
-    forgotten: bool,
+    verdict_ended: bool,
 }
 
 impl Simulation {
@@ -44,7 +44,7 @@
             arriving: Vec::new(),
             probes: Vec::new(),
             verdicts: Vec::new(),
-            forgotten: false,
+            verdict_ended: false,
         };
         for _ in 0..20 {
             let key = simulation.send();
@@ -101,7 +101,7 @@
                     self.probes.push(self.now_ms);
                 }
                 HomeEvent::Unresponsive { .. } => self.verdicts.push(self.now_ms),
-                HomeEvent::Forgotten { .. } => self.forgotten = true,
+                HomeEvent::VerdictEnded { .. } => self.verdict_ended = true,
             }
         }
     }
@@ -216,7 +216,7 @@
     simulation.run(MAX_DETECTION_MS, |_| false);
     simulation.health.withdraw(&InstanceId::new("home"), key);
     simulation.run(11_000, |_| false);
-    assert!(simulation.forgotten && !simulation.is_unresponsive());
+    assert!(simulation.verdict_ended && !simulation.is_unresponsive());
     assert_eq!(simulation.health.next_poll(), None);
 }
 
--- a/crates/gullspar_direct/tests/support/fake_peers.rs
+++ b/crates/gullspar_direct/tests/support/fake_peers.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+use event_listener::Event;
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
 use gullspar_border::PeerError;
@@ -24,6 +25,11 @@
     partitioned: RefCell<BTreeSet<SocketAddr>>,
     /// Links that are blocked, as pairs of sender and receiver.
     blocked_pairs: RefCell<BTreeSet<(SocketAddr, SocketAddr)>>,
+    /// Instances that nothing reaches and that reach nothing, while their connections stay open.
+    silent: RefCell<BTreeSet<SocketAddr>>,
+    silence_ended: Event,
+    /// Instances of an older build, which can't decode the messages that were added last.
+    older_builds: RefCell<BTreeSet<SocketAddr>>,
     /// The tasks that serve forwarded sessions.
     sessions: RefCell<Vec<compio::runtime::JoinHandle<()>>>,
 }
@@ -39,6 +45,22 @@
         self.partitioned.borrow_mut().insert(SocketAddr::from(([127, 0, 0, 1], number)));
     }
 
+    /// Silences an instance: no message from or to it arrives, and no connection breaks. [`FakeNetwork::heal`] delivers
+    /// what was sent over connections.
+    pub fn silence(&self, number: u16) {
+        self.silent.borrow_mut().insert(SocketAddr::from(([127, 0, 0, 1], number)));
+    }
+
+    /// Makes an instance one of an older build.
+    pub fn downgrade(&self, number: u16) {
+        self.older_builds.borrow_mut().insert(SocketAddr::from(([127, 0, 0, 1], number)));
+    }
+
+    fn is_silent(&self, a: SocketAddr, b: SocketAddr) -> bool {
+        let silent = self.silent.borrow();
+        silent.contains(&a) || silent.contains(&b)
+    }
+
     /// Drops all sessions between instances without notice, as when a home crashes.
     pub fn drop_sessions(&self) {
         self.sessions.borrow_mut().clear();
@@ -64,6 +86,8 @@
     pub fn heal(&self) {
         self.blocked_pairs.borrow_mut().clear();
         self.partitioned.borrow_mut().clear();
+        self.silent.borrow_mut().clear();
+        self.silence_ended.notify(usize::MAX);
     }
 
     /// The network as the instance at `own` accesses it.
@@ -77,13 +101,37 @@
         if partitioned.contains(&from) || partitioned.contains(&to) {
             return None;
         }
-        if self.blocked_pairs.borrow().contains(&(from, to)) {
+        if self.is_silent(from, to) || self.blocked_pairs.borrow().contains(&(from, to)) {
             return None;
         }
         self.instances.borrow().get(&to).cloned()
     }
 }
 
+/// The way between two instances.
+pub struct Path {
+    network: Rc<FakeNetwork>,
+    ends: (SocketAddr, SocketAddr),
+}
+
+impl Path {
+    /// Whether the home is of an older build.
+    pub fn ends_at_older_build(&self) -> bool {
+        self.network.older_builds.borrow().contains(&self.ends.1)
+    }
+
+    /// Waits until neither end is silent.
+    pub async fn wait_until_connected(&self) {
+        loop {
+            let ended = self.network.silence_ended.listen();
+            if !self.network.is_silent(self.ends.0, self.ends.1) {
+                return;
+            }
+            ended.await;
+        }
+    }
+}
+
 struct FakePeerChannel {
     network: Rc<FakeNetwork>,
     own: SocketAddr,
@@ -91,6 +139,10 @@
 
 impl PeerChannel for FakePeerChannel {
     fn send(&self, to: SocketAddr, message: &PeerMessage) {
+        let is_probe = matches!(message, PeerMessage::HomeProbe(_));
+        if is_probe && self.network.older_builds.borrow().contains(&to) {
+            return;
+        }
         if let Some(proxy) = self.network.find_reachable(self.own, to) {
             proxy.handle_message(message.clone());
         }
@@ -113,11 +165,19 @@
         &self,
         to: SocketAddr,
         session: ForwardedSession,
-        _deadline: Instant,
+        deadline: Instant,
     ) -> LocalBoxFuture<'static, Result<Box<dyn HomeLink>, PeerError>> {
+        if self.network.is_silent(self.own, to) {
+            return async move {
+                compio::time::sleep_until(deadline).await;
+                Err(PeerError::NoAnswer("silent".to_owned()))
+            }
+            .boxed_local();
+        }
         let result = match self.network.find_reachable(self.own, to) {
             Some(proxy) => {
-                let (home, relayed) = fake_relay::pair();
+                let path = Path { network: Rc::clone(&self.network), ends: (self.own, to) };
+                let (home, relayed) = fake_relay::pair(path);
                 let served = serve_relayed_caller(proxy, Box::new(relayed), session);
                 self.network.sessions.borrow_mut().push(compio::runtime::spawn(served));
                 Ok(Box::new(home) as Box<dyn HomeLink>)
--- a/crates/gullspar_net/src/relay_link.rs
+++ b/crates/gullspar_net/src/relay_link.rs
@@ -6,7 +6,7 @@
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
 use gullspar_border::PeerError;
-use gullspar_direct::{ForwardedSession, HomeLink, RelayMessage, RelayReply};
+use gullspar_direct::{ForwardedSession, HomeLink, RelayMessage, RelayReply, RelayedLink};
 use gullspar_statement::{Answer, CallerLink, CallerLinkError, CallerMessage};
 
 use crate::TcpLink;
@@ -54,6 +54,9 @@
             match self.framed.read().await.map_err(broken)? {
                 Some(RelayMessage::Caller(message)) => Ok(Some(message)),
                 Some(RelayMessage::Ended) | None => Ok(None),
+                Some(RelayMessage::Restore(_)) => {
+                    Err(broken(PeerError::no_answer("the session is already open")))
+                }
             }
         }
         .boxed_local()
@@ -83,6 +86,12 @@
     }
 }
 
+impl RelayedLink for RelayedCaller {
+    fn first(&mut self) -> LocalBoxFuture<'_, Result<Option<RelayMessage>, CallerLinkError>> {
+        async move { self.framed.read().await.map_err(broken) }.boxed_local()
+    }
+}
+
 fn broken(err: PeerError) -> CallerLinkError {
     CallerLinkError::Broken(std::io::Error::other(err.to_string()))
 }
