End a repeated read at its statement timeout, whichever homes are silent

With all homes silent one after the other, the last search for a home went on for 0.8 s after the statement's timeout of 1 s, and the caller had its answer after 1.83 s. Tests were added for this, for the session of a home that answers an opening late, and for the encoding of older messages.

--- a/crates/gullspar_direct/src/session/relay.rs
+++ b/crates/gullspar_direct/src/session/relay.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use futures::future::{self, Either};
-use gullspar_border::PeerError;
+use gullspar_border::{PeerError, within};
 use gullspar_model::NotRun;
 use gullspar_statement::{
     Answer, CallerLink, CallerLinkError, CallerMessage, Failure, FailureCode, TransactionStatus,
@@ -286,8 +286,11 @@
 
     /// Continues the session at another home, or here, and repeats the unanswered messages.
     async fn move_session(&mut self, lost: &str) -> Result<Moved, CallerLinkError> {
-        let now = self.proxy.borders.clock.now();
-        if self.state.unanswered.front().is_some_and(|it| it.is_sent && now >= it.deadline) {
+        let clock = &self.proxy.borders.clock;
+        let oldest = self.state.unanswered.front();
+        let (deadline, is_sent) =
+            oldest.map_or((clock.now(), false), |it| (it.deadline, it.is_sent));
+        if is_sent && clock.now() >= deadline {
             self.record_outcome(lost, "timed_out");
             return self.fail_unanswered(|_| refusal::timed_out()).await;
         }
@@ -307,10 +310,9 @@
             group: route.group,
         };
         let first = RelayMessage::Restore(self.state.restored(&self.opening));
-        let Some((answer, home)) =
-            home_opening::open(&self.proxy, &homes, &first, &forwarded).await
-        else {
-            self.record_outcome(lost, "not_run");
+        let opened = home_opening::open(&self.proxy, &homes, &first, &forwarded);
+        let Ok(Some((answer, home))) = within(&**clock, deadline, opened).await else {
+            self.record_outcome(lost, if is_sent { "unknown" } else { "not_run" });
             return self.fail_unanswered(no_home_failure).await;
         };
         if answer.result.is_err() {
--- a/crates/gullspar_direct/tests/support/fake_peers.rs
+++ b/crates/gullspar_direct/tests/support/fake_peers.rs
@@ -1,6 +1,6 @@
 //! A network between instances in memory, with links that can be blocked.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -28,6 +28,8 @@
     /// Instances that nothing reaches and that reach nothing, while their connections stay open.
     silent: RefCell<BTreeSet<SocketAddr>>,
     silence_ended: Event,
+    /// Whether silent instances still accept connections, like a machine whose processes stand still.
+    pub silent_accept: Cell<bool>,
     /// Instances of an older build, which can't decode the messages that were added last.
     older_builds: RefCell<BTreeSet<SocketAddr>>,
     /// The tasks that serve forwarded sessions.
@@ -167,14 +169,19 @@
         session: ForwardedSession,
         deadline: Instant,
     ) -> LocalBoxFuture<'static, Result<Box<dyn HomeLink>, PeerError>> {
-        if self.network.is_silent(self.own, to) {
+        let is_silent = self.network.is_silent(self.own, to);
+        if is_silent && !self.network.silent_accept.get() {
             return async move {
                 compio::time::sleep_until(deadline).await;
                 Err(PeerError::NoAnswer("silent".to_owned()))
             }
             .boxed_local();
         }
-        let result = match self.network.find_reachable(self.own, to) {
+        let reached = match is_silent {
+            true => self.network.instances.borrow().get(&to).cloned(),
+            false => self.network.find_reachable(self.own, to),
+        };
+        let result = match reached {
             Some(proxy) => {
                 let path = Path { network: Rc::clone(&self.network), ends: (self.own, to) };
                 let (home, relayed) = fake_relay::pair(path);
--- a/crates/gullspar_direct/tests/unresponsive_homes.rs
+++ b/crates/gullspar_direct/tests/unresponsive_homes.rs
@@ -10,11 +10,15 @@
 
 use gullspar_customer::{Customers, KeyFingerprint, RateLimit};
 use gullspar_direct::{
-    Allowance, Catalogue, HomeInputs, Member, Members, Proxy, homes, serve_caller,
+    Allowance, Catalogue, HomeInputs, HomeProbe, HomeProbeAnswer, Member, Members, PeerMessage,
+    Proxy, RelayMessage, RestoredSession, SessionValues, homes, serve_caller,
 };
 use gullspar_model::CustomerName;
 use gullspar_statement::{Answer, FailureCode, TransactionStatus};
-use support::{FakeCaller, Fault, GROUP, LATEST, OWN_WRITES, World, pause, run, wait_until};
+use support::{
+    FakeCaller, Fault, GROUP, LATEST, OWN_WRITES, STATEMENT_TIMEOUT_MS, World, pause, run,
+    wait_until,
+};
 use test_case::test_case;
 
 /// Too many instances for each to open its own connections.
@@ -439,6 +443,83 @@
     });
 }
 
+/// Guards against sessions that stay open at a home that answered an opening later than another one.
+#[test]
+fn the_session_of_a_home_that_answers_late_is_closed() {
+    run(async {
+        let fleet = Fleet::start().await;
+        fleet.world.network.silent_accept.set(true);
+        fleet.world.network.silence(fleet.ranked[0]);
+        // Openings begin at a random home.
+        let mut callers = Vec::new();
+        let first_home = fleet.proxy(fleet.ranked[0]);
+        while first_home.shutdown.sessions() == 0 {
+            callers.push(fleet.world.caller(fleet.entry(), LATEST).await);
+        }
+        fleet.world.network.heal();
+        wait_until(500, "the first home has no session", || first_home.shutdown.sessions() == 0)
+            .await;
+        for caller in &callers {
+            caller.execute_ok("READ slot").await;
+        }
+    });
+}
+
+/// Guards against a read without an answer when one home after the other falls silent.
+#[test]
+fn a_read_ends_with_its_true_outcome_if_all_homes_fall_silent() {
+    run(async {
+        let fleet = Fleet::start().await;
+        let (caller, home) = fleet.session(LATEST).await;
+        fleet.world.group.statement_duration_ms.set(50);
+        let mut silent = vec![home];
+        fleet.world.network.silence(home);
+        let sent_at = Instant::now();
+        caller.send_statement("READ slot");
+        let answer = loop {
+            let answer = compio::time::timeout(Duration::from_millis(5), caller.next()).await;
+            if let Ok(answer) = answer {
+                break answer.unwrap();
+            }
+            let mut next = fleet.serving();
+            next.retain(|it| !silent.contains(it));
+            next.iter().for_each(|it| fleet.world.network.silence(*it));
+            silent.extend(next);
+        };
+        println!(
+            "{:?} after {:?}, {} homes were silent",
+            code(&answer),
+            sent_at.elapsed(),
+            silent.len()
+        );
+        assert!(matches!(code(&answer), FailureCode::TimedOut | FailureCode::Unknown));
+        assert!(silent.len() > 1);
+        let timeout = Duration::from_millis(STATEMENT_TIMEOUT_MS + 300);
+        assert!(sent_at.elapsed() < timeout);
+    });
+}
+
+/// Guards against messages whose encoding changes, so that instances of an older build can't decode them any more.
+#[test]
+fn new_messages_follow_the_older_ones() {
+    let first_byte = |bytes: Vec<u8>| bytes[0];
+    let restored = RestoredSession {
+        service: LATEST.into(),
+        key: None,
+        values: SessionValues::default(),
+        own_commit: None,
+        repeats_read: false,
+    };
+    let restore = RelayMessage::Restore(restored);
+    assert_eq!(first_byte(postcard::to_stdvec(&RelayMessage::Ended).unwrap()), 1);
+    assert_eq!(first_byte(postcard::to_stdvec(&restore).unwrap()), 2);
+    let reply_to = support::member(1).address;
+    let probe = PeerMessage::HomeProbe(HomeProbe { number: 1, reply_to });
+    let answer = PeerMessage::HomeProbeAnswer(HomeProbeAnswer { number: 1 });
+    assert_eq!(first_byte(postcard::to_stdvec(&probe).unwrap()), 4);
+    assert_eq!(first_byte(postcard::to_stdvec(&answer).unwrap()), 5);
+}
+
 /// Guards against callers that wait for each home in turn at an instance that is isolated.
 #[test]
 fn an_isolated_instance_without_a_responsive_home_refuses_at_once() {
