Stop sending to a home as soon as it is unresponsive

A silent home stops reading, so sending a statement that exceeds the buffers of its connection did not end before TCP gave up, although the home was known to be unresponsive. The end of a connection to such a home is no longer logged for each session. A session whose key was refused ends when its home ends it, as before the sessions could move.

--- a/crates/gullspar_direct/src/fleet/home_monitor.rs
+++ b/crates/gullspar_direct/src/fleet/home_monitor.rs
@@ -78,6 +78,17 @@
         self.home_monitor.health.borrow().is_unresponsive(home, now)
     }
 
+    /// Waits until `home` is unresponsive.
+    pub(crate) async fn until_unresponsive(&self, home: &InstanceId) {
+        loop {
+            let lost = self.home_monitor.listen();
+            if self.is_unresponsive(home) {
+                return;
+            }
+            lost.await;
+        }
+    }
+
     /// Whether anything was received from `home` within `ttl`, other than heartbeats before its first statement.
     pub(crate) fn has_heard_from(&self, home: &InstanceId, ttl: Duration) -> bool {
         let now = self.borders.clock.now();
--- a/crates/gullspar_direct/src/session/relay.rs
+++ b/crates/gullspar_direct/src/session/relay.rs
@@ -31,6 +31,8 @@
     state: ForwardedState,
     /// Whether the home asked to end the session.
     ending: bool,
+    /// Whether the last answer was that the key is no longer valid, after which the home ends the session.
+    is_key_refused: bool,
 }
 
 /// How forwarding a session ended.
@@ -99,6 +101,7 @@
             home: Some(home),
             state: ForwardedState::new(),
             ending: false,
+            is_key_refused: false,
         };
         relay.forward_all().await
     }
@@ -215,7 +218,13 @@
         for unanswered in self.state.unanswered.iter_mut().filter(|it| it.observed.is_none()) {
             unanswered.is_sent = true;
             unanswered.observed = Some(self.proxy.statement_sent(&home.member));
-            home.link.send(&RelayMessage::Caller(unanswered.message.clone())).await?;
+            let message = RelayMessage::Caller(unanswered.message.clone());
+            let lost = std::pin::pin!(self.proxy.until_unresponsive(&home.member.id));
+            // A silent home stops reading, so sending a long statement does not end.
+            match future::select(home.link.send(&message), lost).await {
+                Either::Left((sent, _)) => sent?,
+                Either::Right(_) => return Err(PeerError::no_answer("the home is unresponsive")),
+            }
         }
         Ok(())
     }
@@ -224,10 +233,9 @@
         match reply {
             RelayReply::Answer(answer) => {
                 self.state.apply(&answer);
-                let is_refused = is_unauthenticated(&answer);
+                self.is_key_refused = is_unauthenticated(&answer);
                 self.caller.reply(&answer).await?;
-                // The home ends a session whose key is no longer valid.
-                Ok(if is_refused { Next::Close } else { Next::Continue })
+                Ok(Next::Continue)
             }
             RelayReply::Ending => {
                 self.ending = true;
@@ -241,7 +249,12 @@
     }
 
     async fn handle_lost_connection(&mut self) -> Result<Next, CallerLinkError> {
-        if let Some(home) = &self.home {
+        if self.is_key_refused && self.state.unanswered.is_empty() {
+            return Ok(Next::Close);
+        }
+        if let Some(home) = &self.home
+            && !self.proxy.is_unresponsive(&home.member.id)
+        {
             log::info!(home = home.member.id.as_str(), unanswered = self.state.unanswered.len(); "G0747 the connection to a session's home was lost");
             self.proxy.avoid_home(&home.member.id);
             self.proxy.home_connection_lost(&home.member.id);
