Decide on a data centre's rotation in a module without I/O

An instance decided alone whether it is partitioned: a home by the leaders of its own groups, any other instance by whether some home reported to reach most of its own leaders. Views within a data centre differ, since each home has other leaders.

The new module has a part that reports and follows verdicts, and a part that collects reports and decides by the use of groups. It is not connected yet. NotRun gets a variant for a caller who is told when another instance will accept it.

--- /dev/null
+++ b/crates/gullspar_direct/src/fleet/rotation/participant.rs
@@ -0,0 +1,115 @@
+//! The part of an instance that reports to coordinators and follows their verdicts.
+
+use std::collections::BTreeMap;
+
+use gullspar_border::BootInstant;
+use gullspar_model::InstanceId;
+
+use super::contact::Contact;
+use super::{Decision, RotationVerdict, Ruling, rank, timing};
+use crate::Member;
+
+/// Chooses the coordinators to report to, and the verdict that applies.
+#[derive(Debug, Default)]
+pub struct Participant {
+    /// When the instance decides alone if there is no verdict; `None` while it has no reason to report.
+    alone_at: Option<BootInstant>,
+    /// Until when the instance reports because a coordinator asked for it.
+    prompted_until: Option<BootInstant>,
+    /// Whether the last ruling was to leave rotation.
+    is_leaving: bool,
+    next_report_at: Option<BootInstant>,
+    contacts: BTreeMap<InstanceId, Contact>,
+}
+
+impl Participant {
+    /// Whether the instance has a reason to report.
+    pub fn is_active(&self) -> bool {
+        self.alone_at.is_some()
+    }
+
+    /// When the instance decides alone if there is no verdict.
+    pub fn alone_at(&self) -> Option<BootInstant> {
+        self.alone_at
+    }
+
+    /// Returns the instances to report to now, and whether the report must contain the uses. `is_needed` says that the
+    /// instance itself has a reason to report; `near` are the live instances of its data centre, itself included.
+    pub fn check<'a>(
+        &mut self,
+        is_needed: bool,
+        near: &'a [Member],
+        now: BootInstant,
+    ) -> Vec<(&'a Member, bool)> {
+        let is_prompted = self.prompted_until.is_some_and(|it| now < it);
+        if !is_needed && !is_prompted && !self.is_leaving {
+            *self = Participant::default();
+            return Vec::new();
+        }
+        self.alone_at.get_or_insert(now.plus(timing::DECIDE_ALONE_AFTER));
+        if self.next_report_at.is_some_and(|it| now < it) {
+            return Vec::new();
+        }
+        let interval = match self.verdict(now) {
+            Some(_) => timing::RENEWAL_INTERVAL,
+            None => timing::SEARCH_INTERVAL,
+        };
+        self.next_report_at = Some(now.plus(interval));
+        let mut ranked: Vec<&Member> = near.iter().collect();
+        ranked.sort_by_cached_key(|it| {
+            let contact = self.contacts.entry(it.id.clone()).or_default();
+            (contact.is_avoided(now), std::cmp::Reverse(rank(&it.id)))
+        });
+        ranked.truncate(timing::COORDINATORS);
+        let report = |it: &'a Member| {
+            let contact = self.contacts.entry(it.id.clone()).or_default();
+            contact.record_report(now);
+            (it, !contact.knows_uses)
+        };
+        ranked.into_iter().map(report).collect()
+    }
+
+    /// Makes the next [`Participant::check`] return receivers, because the instance's view has changed.
+    pub fn report_soon(&mut self) {
+        self.next_report_at = None;
+    }
+
+    /// Processes a verdict. Returns whether the instance should report at once.
+    pub fn handle_verdict(&mut self, verdict: RotationVerdict, now: BootInstant) -> bool {
+        let is_unexpected = !self.is_active() && verdict.decision == Decision::Leave;
+        if verdict.answers.is_none() || is_unexpected {
+            // It may be late. The answer to a report shows whether it still applies.
+            self.prompted_until = Some(now.plus(timing::VERDICT_TTL));
+            self.next_report_at = None;
+            return true;
+        }
+        let contact = self.contacts.entry(verdict.from.clone()).or_default();
+        contact.record_verdict(verdict, now);
+        false
+    }
+
+    /// What applies now. `near_count` is the number of live instances of the data centre.
+    ///
+    /// An instance that is not isolated itself leaves only if most of its data centre is, so that the members of a small
+    /// isolated part can't take it along.
+    pub fn ruling(&mut self, is_isolated: bool, near_count: usize, now: BootInstant) -> Ruling {
+        let Some(alone_at) = self.alone_at else { return Ruling::NotNeeded };
+        let is_bound = |it: &&RotationVerdict| {
+            let is_majority_isolated = 2 * it.isolated as usize > near_count;
+            it.decision != Decision::Leave || is_isolated || self.is_leaving || is_majority_isolated
+        };
+        let ruling = match self.verdict(now).filter(is_bound) {
+            Some(verdict) => Ruling::Verdict(Box::new(verdict.clone())),
+            None if now < alone_at => Ruling::Awaited,
+            None => Ruling::Alone,
+        };
+        self.is_leaving = matches!(&ruling, Ruling::Verdict(it) if it.decision == Decision::Leave);
+        ruling
+    }
+
+    /// The valid verdict of the coordinator that ranks first.
+    fn verdict(&self, now: BootInstant) -> Option<&RotationVerdict> {
+        let valid = self.contacts.values().filter_map(|it| it.valid_verdict(now));
+        valid.max_by_key(|it| rank(&it.from))
+    }
+}
--- a/crates/gullspar_model/src/outcome.rs
+++ b/crates/gullspar_model/src/outcome.rs
@@ -35,6 +35,8 @@
         Undone,
         /// The target connection of the transaction was lost, and with it the transaction.
         TransactionLost,
+        /// The instance is partitioned, and another one accepts the caller after this delay.
+        Partitioned { retry_after_ms: u64 },
     }
 }
 
@@ -92,15 +94,16 @@
             NotRun::ConnectionLost => "the target was lost before the request could commit",
             NotRun::Undone => "the primary failed and the write was undone with it",
             NotRun::TransactionLost => "the target was lost and the transaction with it",
+            NotRun::Partitioned { .. } => "the instance is partitioned from the group",
         }
     }
 
     /// Returns the time after which the caller should retry, in milliseconds.
     pub fn retry_after_ms(self) -> u64 {
         match self {
-            NotRun::Overloaded { retry_after_ms } | NotRun::OverLimit { retry_after_ms } => {
-                retry_after_ms
-            }
+            NotRun::Overloaded { retry_after_ms }
+            | NotRun::OverLimit { retry_after_ms }
+            | NotRun::Partitioned { retry_after_ms } => retry_after_ms,
             NotRun::TransactionLost | NotRun::ConnectionLost | NotRun::Undone => 50,
             _ => 250,
         }
