Leave rotation and return to it by one verdict for a data centre

In a data centre of which one home reached all of its own leaders, the instances that are home of no group and that home stayed in rotation for as long as the partition lasted, while the others left: the new test fails on the previous code.

Isolated instances report to two coordinators and apply their verdicts. Openings of groups that can't be served are refused at once, with the time until the change takes effect as the delay before a retry. An instance that starts without any contact outside its data centre is not ready before a verdict lets it stay. Fleets without homes send nothing and decide as before.

The fakes can serve several groups, whose members need names of their own.

--- a/crates/gullspar_direct/src/fleet/heartbeats.rs
+++ b/crates/gullspar_direct/src/fleet/heartbeats.rs
@@ -140,6 +140,8 @@
             PeerMessage::TokenRequest(req) => self.answer_token_request(&req),
             PeerMessage::TokenGrant(grant) => self.apply_grant(&grant),
             PeerMessage::QuotaHandover(handover) => self.apply_quota_handover(&handover),
+            PeerMessage::RotationReport(report) => self.handle_rotation_report(report),
+            PeerMessage::RotationVerdict(verdict) => self.handle_rotation_verdict(verdict),
         }
     }
 
--- a/crates/gullspar_direct/src/fleet/home_groups.rs
+++ b/crates/gullspar_direct/src/fleet/home_groups.rs
@@ -168,6 +168,15 @@
         Some(ranked)
     }
 
+    /// Whether any instance of this data centre is a home of `group`.
+    pub(crate) fn has_near_home(&self, group: &GroupName) -> bool {
+        let homes = self.home_inputs(group).and_then(|it| self.homes_of(group, &it));
+        homes.is_some_and(|homes| {
+            let mut ranked = homes.ranked.iter().take(homes.count);
+            ranked.any(|it| it.data_centre == self.own.data_centre)
+        })
+    }
+
     /// Ranks a home last for [`HOME_AVOIDANCE_PERIOD`], after it could not be reached, could not
     /// serve a group, or the connection of a session to it was lost.
     pub(crate) fn avoid_home(&self, id: &InstanceId) {
@@ -230,6 +239,8 @@
             configuration: self.directory.version(),
             is_partitioned: self.shutdown.partition_state() != PartitionState::Connected,
             leaderless: leaderless as u64,
+            verdict: self.verdict_gauge(),
+            servable_percent: self.servable_percent(),
             instances: 1 + self.peers.running_count() as u64,
             store_silent_ms: self.store_silent_for().map(|it| it.as_millis() as u64),
         }
--- a/crates/gullspar_direct/src/fleet/mod.rs
+++ b/crates/gullspar_direct/src/fleet/mod.rs
@@ -15,4 +15,7 @@
 pub(crate) mod peer_message;
 pub(crate) mod peer_table;
 pub(crate) mod registry;
+pub mod rotation;
+pub(crate) mod rotation_exchange;
+pub(crate) mod rotation_state;
 pub(crate) mod views;
--- a/crates/gullspar_direct/src/fleet/partition.rs
+++ b/crates/gullspar_direct/src/fleet/partition.rs
@@ -1,4 +1,4 @@
-//! Detects a network partition and decides whether callers are better served by other instances.
+//! Detects a network partition, and decides which sessions an instance opens meanwhile.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -6,7 +6,7 @@
 use gullspar_model::NotRun;
 
 use crate::groups::group::Group;
-use crate::{PartitionState, Phase, Proxy, ROTATION_DELAY, Route};
+use crate::{PartitionState, Phase, Proxy, Route};
 
 /// Time between two checks for silent peers and for a partition.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -35,6 +35,8 @@
     /// Whether this instance has lost contact with most other instances and with the leaders of at least half of its
     /// groups, so that callers are better served elsewhere.
     ///
+    /// This is by the instance's own view; see `docs/design/rotation.md` for when it applies.
+    ///
     /// An instance that is a home of no group forwards its callers to the homes of its data centre. It counts as
     /// partitioned if it has lost contact with most other instances and none of these homes reaches its leaders.
     pub(crate) fn is_partitioned(&self) -> bool {
@@ -66,16 +68,41 @@
         if self.shutdown.phase() >= Phase::ClosingIdle {
             return Some(NotRun::Leaving);
         }
+        let is_restricted = self.rotation.is_restricted.get();
         let should_refuse = match self.shutdown.partition_state() {
-            PartitionState::Connected => false,
-            // An instance that is a home of no group leaves the decision to the homes, which contact the leaders.
-            PartitionState::Partitioned => match self.group(&route.group) {
-                Some(group) => !self.can_serve(&group, route),
-                None => is_forwarded,
-            },
+            PartitionState::Connected if !is_restricted => false,
+            state @ (PartitionState::Connected | PartitionState::Partitioned) => {
+                match self.group(&route.group) {
+                    Some(group) => {
+                        let has_other_way =
+                            is_restricted && self.has_other_way(&group, is_forwarded);
+                        !has_other_way && !self.can_serve(&group, route)
+                    }
+                    None if is_forwarded => state == PartitionState::Partitioned,
+                    None => is_restricted && !self.can_forward(route, state),
+                }
+            }
             PartitionState::OutOfRotation => true,
         };
-        should_refuse.then_some(NotRun::Unreachable)
+        should_refuse.then(|| self.unreachable_reason())
+    }
+
+    /// Whether a session may be served although `group` has no leader here: through another instance, or because this
+    /// one became a home only just now.
+    fn has_other_way(&self, group: &Group, is_forwarded: bool) -> bool {
+        let has_route = !is_forwarded && self.forwarding_candidates(&group.name).is_some();
+        has_route || self.is_new_home(group)
+    }
+
+    /// Whether an isolated instance that is no home of the group forwards a session: unless it is known that no home
+    /// can serve it, the decision is left to the homes, which contact the leaders.
+    fn can_forward(&self, route: &Route, state: PartitionState) -> bool {
+        let needs_leader = route.freshness.max_age().is_none();
+        if needs_leader && self.is_leader_lost_for_all(&route.group) {
+            return false;
+        }
+        // Homes in other data centres can't be reached by a data centre that leaves rotation.
+        state == PartitionState::Connected || self.has_near_home(&route.group)
     }
 
     /// Whether any statement with `route` can be served: its group has a usable leader, or a position sample is recent
@@ -97,6 +124,10 @@
             return true;
         }
         let is_able = match self.groups().len() {
+            count if self.awaits_first_verdict() => self.is_told_to_stay().unwrap_or_else(|| {
+                let now = self.borders.clock.boot_now();
+                2 * self.led_group_count() >= count && self.peers.has_working_home(now)
+            }),
             // An instance that is a home of no group forwards all sessions.
             0 => self.peers.running_count() > 0,
             count => 2 * self.led_group_count() >= count,
@@ -109,26 +140,13 @@
     /// routes to leaders that other instances reach and this one can't; never returns.
     pub(crate) async fn monitor_connectivity(self: Rc<Self>) {
         let clock = Rc::clone(&self.borders.clock);
-        let mut partitioned_since = None;
         let mut routed_groups = Vec::new();
         loop {
             self.check_peers();
             self.refresh_alternate_routes(&mut routed_groups);
-            if self.is_partitioned() {
-                let since = *partitioned_since.get_or_insert_with(|| {
-                    log::warn!("G0741 this instance is partitioned; callers are sent elsewhere");
-                    clock.now()
-                });
-                let is_out = clock.now() >= since + ROTATION_DELAY;
-                self.shutdown.set_partition_state(if is_out {
-                    PartitionState::OutOfRotation
-                } else {
-                    PartitionState::Partitioned
-                });
-            } else if partitioned_since.take().is_some() {
-                log::info!("G0742 this instance is no longer partitioned");
-                self.shutdown.set_partition_state(PartitionState::Connected);
-            }
+            self.maintain_rotation();
+            // Readiness is not asked for all the time, and it ends the wait for a first verdict.
+            self.has_been_able_to_serve();
             clock.sleep_until(clock.now() + CHECK_INTERVAL).await;
         }
     }
--- a/crates/gullspar_direct/src/fleet/peer_message.rs
+++ b/crates/gullspar_direct/src/fleet/peer_message.rs
@@ -4,6 +4,7 @@
 use gullspar_model::record;
 
 use crate::Heartbeat;
+use crate::fleet::rotation::{RotationReport, RotationVerdict};
 
 record! {
     /// The content of one datagram.
@@ -12,5 +13,7 @@
         TokenRequest(TokenRequest),
         TokenGrant(TokenGrant),
         QuotaHandover(QuotaHandover),
+        RotationReport(RotationReport),
+        RotationVerdict(RotationVerdict),
     }
 }
--- a/crates/gullspar_direct/src/fleet/peer_table.rs
+++ b/crates/gullspar_direct/src/fleet/peer_table.rs
@@ -9,7 +9,7 @@
 use event_listener::{Event, EventListener};
 use gullspar_border::BootInstant;
 use gullspar_membership::{Gossip, GossipOutcome, Member, Membership, Reach};
-use gullspar_model::{GroupName, InstanceId, Revision};
+use gullspar_model::{DataCentre, GroupName, InstanceId, Revision};
 
 use crate::fleet::last_known::LastKnown;
 use crate::fleet::views::Views;
@@ -274,6 +274,11 @@
         self.membership.borrow().running().count()
     }
 
+    /// Whether any instance outside `data_centre` is alive.
+    pub(crate) fn has_running_outside(&self, data_centre: &DataCentre) -> bool {
+        self.membership.borrow().running().any(|it| it.data_centre != *data_centre)
+    }
+
     /// Whether `id` is alive, including while it is leaving.
     pub(crate) fn is_running(&self, id: &InstanceId, now: BootInstant) -> bool {
         let is_member = || self.membership.borrow().running().any(|it| it.id == *id);
--- a/crates/gullspar_direct/src/proxy.rs
+++ b/crates/gullspar_direct/src/proxy.rs
@@ -12,6 +12,7 @@
 use crate::fleet::discovery::Discovery;
 use crate::fleet::home_plan::{HomePlan, OwnGroups};
 use crate::fleet::limits::Limits;
+use crate::fleet::rotation_state::RotationState;
 use crate::groups::group::Group;
 use crate::{Borders, Directory, Member, PartitionState, PeerTable, Phase, Shutdown};
 
@@ -69,6 +70,7 @@
     pub(crate) home_plans: RefCell<BTreeMap<GroupName, HomePlan>>,
     pub(crate) own_groups: RefCell<OwnGroups>,
     pub(crate) limits: Limits,
+    pub(crate) rotation: RotationState,
     /// When the platform's store last answered this instance.
     pub(crate) last_store_contact: RefCell<Option<BootInstant>>,
     pub(crate) started: Instant,
@@ -80,6 +82,7 @@
     /// Creates a proxy that knows no other instance; `seeds` are the addresses to find some at.
     pub fn new(own: Identity, seeds: Vec<SocketAddr>, borders: Borders) -> Rc<Proxy> {
         let started = borders.clock.now();
+        let rotation = RotationState::new(own.id.clone());
         Rc::new(Proxy {
             borders,
             peers: Rc::new(PeerTable::new(own.member(), seeds)),
@@ -93,6 +96,7 @@
             home_plans: RefCell::default(),
             own_groups: RefCell::default(),
             limits: Limits::default(),
+            rotation,
             last_store_contact: RefCell::new(None),
             started,
             was_able_to_serve: Cell::new(false),
--- a/crates/gullspar_direct/src/session/caller_opening.rs
+++ b/crates/gullspar_direct/src/session/caller_opening.rs
@@ -7,6 +7,7 @@
     Answer, CallerLink, CallerLinkError, CallerMessage, Failure, FailureCode, TransactionStatus,
 };
 
+use crate::fleet::rotation::UseCounter;
 use crate::session::caller_session::{Session, no_such_service};
 use crate::session::opening::Opening;
 use crate::session::refusal;
@@ -86,7 +87,7 @@
         && !proxy.wait_until_caught_up(opening, sender).await
     {
         // The instance that forwarded the session tries another home.
-        return Err(relay::no_home());
+        return Err(relay::no_home(proxy));
     }
     let Some(catalogue) = proxy.directory.catalogue() else {
         return Err(refused(refusal::not_run(NotRun::Unreachable)));
@@ -102,7 +103,8 @@
         return Err(refused(refusal::unknown_key()));
     };
     if let Some(reason) = proxy.session_refusal(&route, forwarded.is_some()) {
-        log::info!(service = service.as_str(), reason = reason.text(); "G0764 a session was refused when it was opened");
+        proxy.borders.stats.opening_refused(proxy.shutdown.partition_state());
+        log::info!(service = service.as_str(), reason = reason.text(), retry_after_ms = reason.retry_after_ms(); "G0764 a session was refused when it was opened");
         return Err(refused(refusal::not_run(reason)));
     }
     Ok(Admitted { route, customer })
@@ -121,13 +123,15 @@
     if forwarded.is_some() {
         proxy.hold_group(&route.group);
         if candidates.is_some() {
-            return link.reply(&relay::no_home()).await;
+            return link.reply(&relay::no_home(proxy)).await;
         }
-        return Session::serve_session(proxy, link, opening, customer).await;
+        return Session::serve_session(proxy, link, opening, customer, None).await;
     }
+    let use_counter = proxy.rotation.recent_use.counter(&route);
+    use_counter.record();
     match proxy.other_homes(&route.group).or(candidates) {
-        Some(homes) => forward(proxy, link, opening, route.group, &homes).await,
-        None => Session::serve_session(proxy, link, opening, customer).await,
+        Some(homes) => forward(proxy, link, opening, route.group, &homes, use_counter).await,
+        None => Session::serve_session(proxy, link, opening, customer, Some(use_counter)).await,
     }
 }
 
@@ -137,11 +141,12 @@
     opening: Opening,
     group: GroupName,
     homes: &[Member],
+    use_counter: UseCounter,
 ) -> Result<(), CallerLinkError> {
     let forwarded = ForwardedSession { catalogue_version: proxy.directory.version(), group };
     let Some((opened, home)) = relay::open(proxy, homes, &opening, &forwarded).await else {
-        return link.reply(&relay::no_home()).await;
+        return link.reply(&relay::no_home(proxy)).await;
     };
     link.reply(&opened).await?;
-    Relay::new(Rc::clone(proxy), link, opening, home).run().await
+    Relay::new(Rc::clone(proxy), link, opening, home, use_counter).run().await
 }
--- a/crates/gullspar_direct/src/session/caller_session.rs
+++ b/crates/gullspar_direct/src/session/caller_session.rs
@@ -9,6 +9,7 @@
     Answer, CallerLink, CallerLinkError, CallerMessage, Failure, FailureCode, TransactionStatus,
 };
 
+use crate::fleet::rotation::UseCounter;
 use crate::session::opening::Opening;
 use crate::session::trace::Trace;
 use crate::writing::transaction::Transaction;
@@ -21,6 +22,8 @@
     pub(super) opening: Opening,
     /// The customer found by the last check of the key.
     pub(super) customer: Option<CustomerName>,
+    /// Counts the statements of a caller that is connected to this instance; `None` for a forwarded session.
+    pub(super) use_counter: Option<UseCounter>,
     pub(super) values: SessionValues,
     pub(super) own_commit: Option<LogPoint>,
     pub(super) transaction: Option<Transaction>,
@@ -55,6 +58,7 @@
         mut link: Box<dyn CallerLink>,
         opening: Opening,
         customer: Option<CustomerName>,
+        use_counter: Option<UseCounter>,
     ) -> Result<(), CallerLinkError> {
         link.reply(&Answer::done_locally(TransactionStatus::Idle)).await?;
         let mut session = Session {
@@ -62,6 +66,7 @@
             link,
             opening,
             customer,
+            use_counter,
             values: SessionValues::default(),
             own_commit: None,
             transaction: None,
--- a/crates/gullspar_direct/src/session/relay.rs
+++ b/crates/gullspar_direct/src/session/relay.rs
@@ -5,11 +5,12 @@
 
 use futures::future::{self, Either, LocalBoxFuture};
 use gullspar_border::{DeadlinePassed, PeerError, within};
-use gullspar_model::{InstanceId, NotRun, record};
+use gullspar_model::{InstanceId, record};
 use gullspar_statement::{
     Answer, CallerLink, CallerLinkError, CallerMessage, Failure, FailureCode, TransactionStatus,
 };
 
+use crate::fleet::rotation::UseCounter;
 use crate::session::opening::Opening;
 use crate::session::refusal;
 use crate::{ForwardedSession, Member, Phase, Proxy};
@@ -111,6 +112,7 @@
     pub(crate) caller: Box<dyn CallerLink>,
     opening: Opening,
     home: Home,
+    use_counter: UseCounter,
     /// Messages that are not yet answered.
     unanswered: usize,
     status: TransactionStatus,
@@ -131,9 +133,10 @@
         caller: Box<dyn CallerLink>,
         opening: Opening,
         home: Home,
+        use_counter: UseCounter,
     ) -> Relay {
         let status = TransactionStatus::Idle;
-        Relay { proxy, caller, opening, home, unanswered: 0, status, ending: false }
+        Relay { proxy, caller, opening, home, use_counter, unanswered: 0, status, ending: false }
     }
 
     /// Forwards messages and answers until either side ends the session.
@@ -222,6 +225,7 @@
             return Ok(false);
         }
         self.unanswered += 1;
+        self.use_counter.record();
         if self.home.link.send(&RelayMessage::Caller(message)).await.is_err() {
             self.handle_home_loss().await?;
             return Ok(false);
@@ -243,6 +247,6 @@
 }
 
 /// The answer when no home can serve the session.
-pub(crate) fn no_home() -> Answer {
-    Answer::failed(refusal::not_run(NotRun::Unreachable), TransactionStatus::Idle)
+pub(crate) fn no_home(proxy: &Proxy) -> Answer {
+    Answer::failed(refusal::not_run(proxy.unreachable_reason()), TransactionStatus::Idle)
 }
--- a/crates/gullspar_direct/src/session/statement_execution.rs
+++ b/crates/gullspar_direct/src/session/statement_execution.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::Route;
+use crate::fleet::rotation::UseCounter;
 use crate::groups::group::Group;
 use crate::session::caller_session::{Session, no_such_service};
 use crate::session::refusal;
@@ -45,6 +46,7 @@
     pub(super) async fn answer(&mut self, statement: Statement) -> Answer {
         let started = self.proxy.borders.clock.now();
         self.idle_deadline = None;
+        self.use_counter.iter().for_each(UseCounter::record);
         let id = statement.id.clone();
         let action = statement.action.name();
         let answer = self.execute(statement).await;
--- a/crates/gullspar_direct/src/stats.rs
+++ b/crates/gullspar_direct/src/stats.rs
@@ -8,6 +8,7 @@
 
 use gullspar_statement::{Failure, FailureCode};
 
+use crate::PartitionState;
 use crate::session::trace::Trace;
 
 /// Bucket bounds of the latency histograms, in seconds; they cover the services' latency objectives of 0.1 to 0.8.
@@ -28,10 +29,15 @@
     limited: Counter<u64>,
     in_grace_period: Counter<u64>,
     connections: Counter<u64>,
+    openings_refused: Counter<u64>,
+    rotation_changes: Counter<u64>,
+    rotation_messages: Counter<u64>,
     sessions: Gauge<u64>,
     configuration: Gauge<u64>,
     partitioned: Gauge<u64>,
     leaderless: Gauge<u64>,
+    verdict: Gauge<u64>,
+    servable_percent: Gauge<u64>,
     instances: Gauge<u64>,
     store_silent: Gauge<u64>,
 }
@@ -42,6 +48,9 @@
     pub(crate) configuration: u64,
     pub(crate) is_partitioned: bool,
     pub(crate) leaderless: u64,
+    /// The verdict on rotation: 1 to stay, 2 to leave, 0 for none.
+    pub(crate) verdict: u64,
+    pub(crate) servable_percent: u64,
     pub(crate) instances: u64,
     /// Time since the store's last answer, in milliseconds; `None` if it never answered.
     pub(crate) store_silent_ms: Option<u64>,
@@ -108,6 +117,20 @@
                 "gullspar_target_connections",
                 "Connections to targets, by event: opened, refused, or closed for another customer.",
             ),
+            openings_refused: counter(
+                "gullspar_openings_refused",
+                "Sessions refused when they were opened, because of a partition or a shutdown, by the \
+                 instance's partition state.",
+            ),
+            rotation_changes: counter(
+                "gullspar_rotation_changes",
+                "Times that this instance left rotation or returned because of a partition, by what it \
+                 decided by.",
+            ),
+            rotation_messages: counter(
+                "gullspar_rotation_messages",
+                "Reports and verdicts on rotation sent.",
+            ),
             sessions: gauge("gullspar_sessions", "Callers connected."),
             configuration: gauge(
                 "gullspar_configuration_version",
@@ -115,6 +138,15 @@
             ),
             partitioned: gauge("gullspar_cut_off", "1 while this instance is partitioned."),
             leaderless: gauge("gullspar_groups_without_leader", "Groups without a usable leader."),
+            verdict: gauge(
+                "gullspar_rotation_verdict",
+                "Verdict on the rotation of this data centre: 1 to stay, 2 to leave, 0 for none.",
+            ),
+            servable_percent: gauge(
+                "gullspar_servable_percent",
+                "Share of the callers' use that can be served in this data centre, by the verdict; 100 \
+                 without one.",
+            ),
             instances: gauge("gullspar_instances", "Live instances, including this one."),
             store_silent: gauge(
                 "gullspar_store_silent_ms",
@@ -178,11 +210,30 @@
         self.connections.add(1, &[KeyValue::new("event", event)]);
     }
 
+    pub(crate) fn opening_refused(&self, state: PartitionState) {
+        let state = match state {
+            PartitionState::Connected => "in_rotation",
+            PartitionState::Partitioned => "leaving_rotation",
+            PartitionState::OutOfRotation => "out_of_rotation",
+        };
+        self.openings_refused.add(1, &[KeyValue::new("state", state)]);
+    }
+
+    pub(crate) fn rotation_change(&self, change: &'static str, by: &'static str) {
+        self.rotation_changes.add(1, &[KeyValue::new("change", change), KeyValue::new("by", by)]);
+    }
+
+    pub(crate) fn rotation_message(&self, kind: &'static str) {
+        self.rotation_messages.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     pub(crate) fn record_gauges(&self, values: &GaugeValues) {
         self.sessions.record(values.sessions, &[]);
         self.configuration.record(values.configuration, &[]);
         self.partitioned.record(u64::from(values.is_partitioned), &[]);
         self.leaderless.record(values.leaderless, &[]);
+        self.verdict.record(values.verdict, &[]);
+        self.servable_percent.record(values.servable_percent, &[]);
         self.instances.record(values.instances, &[]);
         if let Some(silent_ms) = values.store_silent_ms {
             self.store_silent.record(silent_ms, &[]);
--- a/crates/gullspar_direct/tests/partitioned_data_centre.rs
+++ b/crates/gullspar_direct/tests/partitioned_data_centre.rs
@@ -7,9 +7,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use gullspar_direct::{Member, Proxy, serve_caller};
+use gullspar_direct::{Catalogue, GroupLimits, Member, Proxy, serve_caller};
+use gullspar_model::{GroupName, ServiceName};
 use gullspar_statement::FailureCode;
-use support::{FakeCaller, Fault, LATEST, World, pause, run, wait_until};
+use support::{FakeCaller, FakeGroup, Fault, GROUP, LATEST, World, pause, run, wait_until};
 
 /// Number of instances. Not all of them are contacts of each other, and most are home of no group.
 const FLEET: u16 = 15;
@@ -36,15 +37,22 @@
 
 /// Starts a fleet over three data centres and waits until all its instances are ready.
 async fn start_fleet(world: &World) -> Vec<Rc<Proxy>> {
+    let proxies = world.fleet(&members(), CONNECTIONS);
+    wait_until_settled(&proxies).await;
+    proxies
+}
+
+fn members() -> Vec<Member> {
     let name = |number| format!("dc-{}", data_centre_index(number));
     let member =
         |number| Member { data_centre: name(number).as_str().into(), ..support::member(number) };
-    let members: Vec<Member> = (1..=FLEET).map(member).collect();
-    let proxies = world.fleet(&members, CONNECTIONS);
+    (1..=FLEET).map(member).collect()
+}
+
+async fn wait_until_settled(proxies: &[Rc<Proxy>]) {
     wait_until(4000, "all are ready", || proxies.iter().all(|it| it.is_ready())).await;
     // Instances that are known only from the registry count as expected for three seconds.
     pause(3000).await;
-    proxies
 }
 
 fn instance(proxies: &[Rc<Proxy>], number: u16) -> &Rc<Proxy> {
@@ -152,3 +160,116 @@
         assert_eq!(out_of_rotation, Vec::<u16>::new(), "out of rotation");
     });
 }
+
+/// Services of the groups besides the first one.
+const MORE_SERVICES: [&str; 3] = ["billing", "stock", "orders"];
+
+/// Maximum time between the first and the last instance of a data centre that leaves rotation.
+const MAX_SPREAD: Duration = Duration::from_secs(1);
+
+/// Starts a fleet that serves four groups, the first one under [`LATEST`].
+async fn start_fleet_with_groups(world: &mut World) -> Vec<Rc<Proxy>> {
+    let mut catalogue: Catalogue = support::catalogue_with_connections(2, CONNECTIONS);
+    let latest = catalogue.routes[&ServiceName::new(LATEST)].clone();
+    for service in MORE_SERVICES {
+        let mut route = latest.clone();
+        route.group = service.into();
+        catalogue.groups.insert(service.into(), GroupLimits { connections: CONNECTIONS });
+        catalogue.routes.insert(service.into(), route);
+        world.more_groups.push(FakeGroup::with_member_prefix(service, service, 3));
+    }
+    let proxies = world.fleet_with_catalogue(&members(), &catalogue);
+    wait_until_settled(&proxies).await;
+    proxies
+}
+
+/// Partitions a data centre together with the members of the groups `kept`, which the other instances reach as well.
+fn partition_with_groups(world: &World, partitioned: &[u16], kept: &[GroupName]) {
+    let others: Vec<u16> = (1..=FLEET).filter(|it| !partitioned.contains(it)).collect();
+    world.network.partition_between(partitioned, &others);
+    for group in world.groups().iter().filter(|it| !kept.contains(&it.name())) {
+        for (member, number) in (0..3).flat_map(|it| partitioned.iter().map(move |n| (it, *n))) {
+            group.inject_fault(member, Fault::UnresponsiveTo(number));
+        }
+    }
+}
+
+/// The groups of the instance of `data_centre` that is home of the fewest.
+fn fewest_groups(world: &World, proxies: &[Rc<Proxy>], data_centre: &[u16]) -> Vec<GroupName> {
+    let names: Vec<GroupName> = world.groups().iter().map(|it| it.name()).collect();
+    let homes = data_centre.iter().map(|it| instance(proxies, *it));
+    let homes = homes.filter(|it| !it.groups().is_empty());
+    let home = homes.min_by_key(|it| it.groups().len()).unwrap();
+    names.into_iter().filter(|it| home.group(it).is_some()).collect()
+}
+
+/// Guards against instances that stay in rotation for seconds after others of their data centre have left, because a
+/// home reports that it reaches the leaders of its own groups. The load balancer then uses all of them, and callers are
+/// refused.
+#[test]
+fn instances_of_a_data_centre_that_has_few_leaders_leave_rotation_together() {
+    run(async {
+        let mut world = World::new();
+        let proxies = start_fleet_with_groups(&mut world).await;
+        let partitioned = in_data_centre(0);
+        let kept = fewest_groups(&world, &proxies, &partitioned);
+        assert!(2 * kept.len() <= world.groups().len(), "{kept:?}");
+        partition_with_groups(&world, &partitioned, &kept);
+        let started = Instant::now();
+        let mut left: Vec<(u16, Duration)> = Vec::new();
+        while left.len() < partitioned.len() {
+            let elapsed = started.elapsed();
+            let is_out = |it: &&u16| !instance(&proxies, **it).is_ready();
+            let newly =
+                partitioned.iter().filter(is_out).filter(|it| !left.iter().any(|l| l.0 == **it));
+            let newly: Vec<(u16, Duration)> = newly.map(|it| (*it, elapsed)).collect();
+            left.extend(newly);
+            assert!(elapsed.as_millis() < u128::from(LEAVE_ROTATION_TIMEOUT_MS), "left: {left:?}");
+            pause(5).await;
+        }
+        println!("left rotation: {left:?}");
+        let spread = left[left.len() - 1].1 - left[0].1;
+        assert!(spread < MAX_SPREAD, "{left:?}");
+        for _ in 0..10 {
+            pause(100).await;
+            let is_ready = |it: &u16| instance(&proxies, *it).is_ready();
+            assert!(!partitioned.iter().any(is_ready), "none returns during the partition");
+            assert!((1..=FLEET).all(|it| partitioned.contains(&it) || is_ready(&it)));
+        }
+
+        world.network.heal();
+        world.groups().iter().for_each(|it| (0..3).for_each(|member| it.clear_faults(member)));
+        wait_until(3000, "one is ready again", || {
+            partitioned.iter().any(|it| instance(&proxies, *it).is_ready())
+        })
+        .await;
+        pause(500).await;
+        assert!(proxies.iter().all(|it| it.is_ready()), "all return together");
+    });
+}
+
+/// Guards against a data centre that leaves rotation although it can serve what its callers use, and against callers of
+/// other groups that are refused late.
+#[test]
+fn a_data_centre_that_can_serve_its_callers_stays_and_refuses_the_rest_at_once() {
+    run(async {
+        let mut world = World::new();
+        let proxies = start_fleet_with_groups(&mut world).await;
+        let partitioned = in_data_centre(0);
+        for number in &partitioned {
+            world.caller(instance(&proxies, *number), LATEST).await.execute_ok("READ slot").await;
+        }
+        partition_with_groups(&world, &partitioned, &[GROUP.into()]);
+        pause(LEAVE_ROTATION_TIMEOUT_MS).await;
+        for number in &partitioned {
+            let proxy = instance(&proxies, *number);
+            assert!(proxy.is_ready(), "instance {number}");
+            world.caller(proxy, LATEST).await.execute_ok("READ slot").await;
+            let (caller, link) = FakeCaller::new();
+            compio::runtime::spawn(serve_caller(Rc::clone(proxy), Box::new(link))).detach();
+            let asked = Instant::now();
+            assert_eq!(caller.open_err(MORE_SERVICES[0]).await, FailureCode::Congested);
+            assert!(asked.elapsed() < REFUSAL_TIMEOUT, "instance {number}: {:?}", asked.elapsed());
+        }
+    });
+}
--- a/crates/gullspar_direct/tests/support/fake_caller.rs
+++ b/crates/gullspar_direct/tests/support/fake_caller.rs
@@ -10,7 +10,8 @@
 use gullspar_customer::KeyFingerprint;
 use gullspar_model::Access;
 use gullspar_statement::{
-    Action, Answer, CallerLink, CallerLinkError, CallerMessage, Definition, FailureCode, Statement,
+    Action, Answer, CallerLink, CallerLinkError, CallerMessage, Definition, Failure, FailureCode,
+    Statement,
 };
 
 /// The caller's end of a session.
@@ -67,8 +68,18 @@
     pub async fn open_err_with_key(&self, service: &str, key: Option<&str>) -> FailureCode {
         let key = key.map(KeyFingerprint::of);
         self.send(CallerMessage::Open { service: service.into(), key });
+        self.next_failure(service).await.code
+    }
+
+    /// Opens a session that must be refused, and returns the failure.
+    pub async fn open_failure(&self, service: &str) -> Failure {
+        self.send(CallerMessage::Open { service: service.into(), key: None });
+        self.next_failure(service).await
+    }
+
+    async fn next_failure(&self, service: &str) -> Failure {
         let answer = self.next().await.expect("the session answers");
-        answer.result.expect_err(service).code
+        answer.result.expect_err(service)
     }
 
     /// Sends a statement without waiting for its answer.
--- a/crates/gullspar_direct/tests/support/fake_group.rs
+++ b/crates/gullspar_direct/tests/support/fake_group.rs
@@ -5,11 +5,10 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use gullspar_model::{CustomerName, LogPoint, MemberName};
-use gullspar_statement::{TargetDialer, TargetSpec};
+use gullspar_model::{CustomerName, GroupName, LogPoint, MemberName};
+use gullspar_statement::TargetSpec;
 
 use super::Fault;
-use super::fake_target::FakeDialer;
 
 /// A statement of a caller that a member ran.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -38,7 +37,7 @@
 
 /// A group of members named `m0`, `m1` and so on; `m0` leads at first.
 pub struct FakeGroup {
-    name: String,
+    pub(super) name: String,
     pub(super) members: Vec<Rc<Member>>,
     leader: Cell<usize>,
     pub(super) term: Cell<u64>,
@@ -72,9 +71,14 @@
 
 impl FakeGroup {
     pub fn new(name: &str, members: usize) -> Rc<FakeGroup> {
+        FakeGroup::with_member_prefix(name, "m", members)
+    }
+
+    /// A group whose members have names that begin with `prefix`. Names must be unique over all groups.
+    pub fn with_member_prefix(name: &str, prefix: &str, members: usize) -> Rc<FakeGroup> {
         let member = |index: usize| {
             Rc::new(Member {
-                name: MemberName::new(format!("m{index}")),
+                name: MemberName::new(format!("{prefix}{index}")),
                 replicated_commits: Cell::new(0),
                 term: Cell::new(1),
                 faults: RefCell::default(),
@@ -105,8 +109,8 @@
         })
     }
 
-    pub fn dialer(self: &Rc<Self>, instance: u16) -> Rc<dyn TargetDialer> {
-        Rc::new(FakeDialer { group: Rc::clone(self), instance })
+    pub fn name(&self) -> GroupName {
+        self.name.as_str().into()
     }
 
     pub fn specs(&self) -> Vec<TargetSpec> {
--- a/crates/gullspar_direct/tests/support/fake_target.rs
+++ b/crates/gullspar_direct/tests/support/fake_target.rs
@@ -16,8 +16,9 @@
 use super::Fault;
 use super::fake_group::{ExecutedStatement, FakeGroup, Member};
 
+/// Connects an instance to the members of several groups.
 pub(super) struct FakeDialer {
-    pub(super) group: Rc<FakeGroup>,
+    pub(super) groups: Vec<Rc<FakeGroup>>,
     pub(super) instance: u16,
 }
 
@@ -29,19 +30,19 @@
         deadline: Instant,
     ) -> LocalBoxFuture<'a, Result<OpenedTarget, OpenError>> {
         async move {
-            let member = self.group.members.iter().find(|it| it.name == spec.member).unwrap();
-            if is_unresponsive(&self.group, member, self.instance) {
+            let group = self.groups.iter().find(|it| it.name == spec.group.as_str()).unwrap();
+            let member = group.members.iter().find(|it| it.name == spec.member).unwrap();
+            if is_unresponsive(group, member, self.instance) {
                 compio::time::sleep_until(deadline).await;
                 return Err(OpenError::Unreachable("unresponsive".to_owned()));
             }
             let refuses_instance = Fault::RefusesConnectionsFrom(self.instance);
-            if self.group.has_fault(member, Fault::RefusesConnections)
-                || self.group.has_fault(member, refuses_instance)
+            if group.has_fault(member, Fault::RefusesConnections)
+                || group.has_fault(member, refuses_instance)
             {
                 let failure = Failure::new(FailureCode::TooManyConnections, "connections refused");
                 return Err(OpenError::Refused(failure));
             }
-            let group = &self.group;
             let held = member.connections.get() + group.stale_connections.get();
             if group.max_connections.get().is_some_and(|max| held >= max) {
                 group.refused_connections.set(group.refused_connections.get() + 1);
@@ -49,10 +50,10 @@
                 return Err(OpenError::Refused(failure));
             }
             group.opened_connections.set(group.opened_connections.get() + 1);
-            let connection = self.group.next_connection.get();
-            self.group.next_connection.set(connection + 1);
+            let connection = group.next_connection.get();
+            group.next_connection.set(connection + 1);
             member.connections.set(member.connections.get() + 1);
-            let point = Some(self.group.point(member));
+            let point = Some(group.point(member));
             let link = FakeTarget {
                 group: Rc::clone(group),
                 member: Rc::clone(member),
--- a/crates/gullspar_direct/tests/support/mod.rs
+++ b/crates/gullspar_direct/tests/support/mod.rs
@@ -33,6 +33,7 @@
 pub use fake_peers::FakeNetwork;
 pub use fake_promoter::FakePromoter;
 pub use fake_registry::FakeRegistry;
+use fake_target::FakeDialer;
 pub use fault::Fault;
 
 pub const GROUP: &str = "group-1";
@@ -74,6 +75,8 @@
 /// The fakes that the instances of one test share.
 pub struct World {
     pub group: Rc<FakeGroup>,
+    /// Groups besides `group`; their leaders are not replaced.
+    pub more_groups: Vec<Rc<FakeGroup>>,
     pub claims: Rc<FakeClaims>,
     pub promoter: Rc<FakePromoter>,
     pub network: Rc<FakeNetwork>,
@@ -107,6 +110,7 @@
         World {
             promoter: FakePromoter::new(Rc::clone(&group)),
             group,
+            more_groups: Vec::new(),
             claims: Rc::default(),
             network: Rc::default(),
             registry: Rc::default(),
@@ -114,6 +118,11 @@
         }
     }
 
+    /// All groups.
+    pub fn groups(&self) -> Vec<Rc<FakeGroup>> {
+        [&self.group].into_iter().chain(&self.more_groups).map(Rc::clone).collect()
+    }
+
     /// An instance that knows the configuration and all targets.
     pub fn instance(&self, number: u16) -> Rc<Proxy> {
         self.instance_with_seed(number, 1)
@@ -144,7 +153,7 @@
         let borders = Borders {
             clock: Rc::clone(&self.clock),
             entropy: Rc::new(SystemEntropy),
-            dialer: self.group.dialer(address.port()),
+            dialer: Rc::new(FakeDialer { groups: self.groups(), instance: address.port() }),
             claims: self.claims.for_instance(address.port()),
             promoter: Rc::clone(&self.promoter) as _,
             peers: self.network.channel(address),
@@ -182,9 +191,17 @@
     /// Starts an instance for each of `members` at once. All are registered already, and the fleet may open
     /// `connections` to each target.
     pub fn fleet(&self, members: &[Member], connections: u32) -> Vec<Rc<Proxy>> {
+        self.fleet_with_catalogue(members, &catalogue_with_connections(2, connections))
+    }
+
+    /// Starts an instance with `catalogue` for each of `members` at once. All are registered already.
+    pub fn fleet_with_catalogue(
+        &self,
+        members: &[Member],
+        catalogue: &Catalogue,
+    ) -> Vec<Rc<Proxy>> {
         members.iter().for_each(|it| self.registry.insert(it.clone()));
-        let start =
-            |it: &Member| self.instance_as(it.clone(), catalogue_with_connections(2, connections));
+        let start = |it: &Member| self.instance_as(it.clone(), catalogue.clone());
         members.iter().map(start).collect()
     }
 
@@ -206,7 +223,8 @@
 
     /// Gives an instance the current list of targets as `revision`.
     pub fn apply_target_list(&self, proxy: &Proxy, revision: u64) {
-        let list = TargetList { revision: Revision::new(0, revision), targets: self.group.specs() };
+        let targets = self.groups().iter().flat_map(|it| it.specs()).collect();
+        let list = TargetList { revision: Revision::new(0, revision), targets };
         proxy.directory.apply_targets(list, self.clock.now());
     }
 
