Test the decision on rotation in simulated time, and a start behind a partition

- A coordinator to which few instances had turned after losses decided by an incomplete tally.
Coordinators now ask all instances for a report, also those that report to others, and collect for 150 ms after that.
- An instance that was about to decide alone did so a few milliseconds before the verdict.
It now waits up to 200 ms longer while a coordinator collects reports.
- Verdicts and checks for completeness cost a pass over all reports each; 723 instances took minutes.

--- a/crates/gullspar_direct/src/fleet/rotation/coordinator.rs
+++ b/crates/gullspar_direct/src/fleet/rotation/coordinator.rs
@@ -25,7 +25,9 @@
     reports: BTreeMap<InstanceId, Received>,
     decision: Decision,
     tally: Tally,
-    /// When the first report arrived, which began the collection.
+    /// Number of instances that report that they are isolated, as of the last decision.
+    isolated: usize,
+    /// Since when this instance has asked for reports in order to decide.
     collecting_since: Option<BootInstant>,
     /// Since when the condition to return to rotation holds.
     good_since: Option<BootInstant>,
@@ -40,6 +42,7 @@
             reports: BTreeMap::new(),
             decision: Decision::Undecided,
             tally: Tally::default(),
+            isolated: 0,
             collecting_since: None,
             good_since: None,
             next_prompt_at: None,
@@ -66,15 +69,14 @@
             return;
         }
         let uses = report.uses.take().or_else(|| old.and_then(|it| it.uses));
-        if report.from != self.own {
-            self.collecting_since.get_or_insert(now);
-        }
         self.reports.insert(report.from.clone(), Received { report, uses, at: now });
     }
 
-    /// Whether the decision can be taken before the end of the collection, because all of `near` have reported.
+    /// Whether the decision can be taken before the end of the collection, because all others of `near` have reported.
     pub fn is_complete(&self, near: &[Member]) -> bool {
-        near.iter().all(|it| self.reports.contains_key(&it.id))
+        // Comparing the numbers first keeps the cost of a report low.
+        self.reports.len() + 1 >= near.len()
+            && near.iter().all(|it| it.id == self.own || self.reports.contains_key(&it.id))
     }
 
     /// Decides by the current reports. `near` are the live instances of the data centre, this one included. Returns
@@ -91,6 +93,7 @@
             it.report.statuses.iter().map(move |status| (status, since))
         });
         self.tally = Tally::new(uses, statuses);
+        self.isolated = self.count(|it| it.is_isolated);
         let decision = self.next_decision(near, now);
         std::mem::replace(&mut self.decision, decision) != decision
     }
@@ -108,6 +111,7 @@
         let by_use = if self.tally.is_mostly_servable() { Decision::Stay } else { Decision::Leave };
         match self.decision {
             Decision::Undecided => {
+                self.collecting_since = has_standing.then(|| self.collecting_since.unwrap_or(now));
                 let is_over = |it: BootInstant| now.since(it) >= timing::COLLECT_PERIOD;
                 let has_collected =
                     self.is_complete(near) || self.collecting_since.is_some_and(is_over);
@@ -140,7 +144,7 @@
     /// Whether this instance is isolated itself, or most instances of its data centre are.
     fn has_standing(&self, near: &[Member]) -> bool {
         let is_isolated = self.reports.get(&self.own).is_some_and(|it| it.report.is_isolated);
-        is_isolated || 2 * self.count(|it| it.is_isolated) > near.len()
+        is_isolated || 2 * self.isolated > near.len()
     }
 
     fn count(&self, is_counted: impl Fn(&RotationReport) -> bool) -> usize {
@@ -155,7 +159,7 @@
             sent_at: now,
             answers: received.map(|it| it.report.sent_at),
             decision: self.decision,
-            isolated: self.count(|it| it.is_isolated) as u32,
+            isolated: self.isolated as u32,
             reported: self.reports.len() as u32,
             servable: self.tally.servable,
             used: self.tally.used,
@@ -187,7 +191,10 @@
         if !is_due || !self.is_active() || !self.has_standing(near) {
             return Vec::new();
         }
-        self.next_prompt_at = Some(now.plus(timing::PROMPT_INTERVAL));
+        self.next_prompt_at = Some(now.plus(match self.decision {
+            Decision::Undecided => timing::COLLECT_PROMPT_INTERVAL,
+            Decision::Stay | Decision::Leave => timing::PROMPT_INTERVAL,
+        }));
         let missing = near.iter().filter(|it| !self.reports.contains_key(&it.id));
         missing.map(|it| (it.address, self.verdict(&it.id, now))).collect()
     }
--- a/crates/gullspar_direct/src/fleet/rotation/participant.rs
+++ b/crates/gullspar_direct/src/fleet/rotation/participant.rs
@@ -1,5 +1,6 @@
 //! The part of an instance that reports to coordinators and follows their verdicts.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use gullspar_border::BootInstant;
@@ -14,11 +15,8 @@
 pub struct Participant {
     /// When the instance decides alone if there is no verdict; `None` while it has no reason to report.
     alone_at: Option<BootInstant>,
-    /// Until when the instance reports because a coordinator asked for it.
-    prompted_until: Option<BootInstant>,
     /// Whether the last ruling was to leave rotation.
     is_leaving: bool,
-    next_report_at: Option<BootInstant>,
     contacts: BTreeMap<InstanceId, Contact>,
 }
 
@@ -33,57 +31,56 @@
         self.alone_at
     }
 
-    /// Returns the instances to report to now, and whether the report must contain the uses. `is_needed` says that the
-    /// instance itself has a reason to report; `near` are the live instances of its data centre, itself included.
+    /// Returns the instances to report to now, and whether the report must contain the uses: the first coordinators that
+    /// answer, and others that asked for a report. `is_needed` says that the instance itself has a reason to report; `near`
+    /// are the live instances of its data centre, itself included.
     pub fn check<'a>(
         &mut self,
         is_needed: bool,
         near: &'a [Member],
         now: BootInstant,
     ) -> Vec<(&'a Member, bool)> {
-        let is_prompted = self.prompted_until.is_some_and(|it| now < it);
+        let is_prompted = self.contacts.values().any(|it| it.has_prompted(now));
         if !is_needed && !is_prompted && !self.is_leaving {
             *self = Participant::default();
             return Vec::new();
         }
         self.alone_at.get_or_insert(now.plus(timing::DECIDE_ALONE_AFTER));
-        if self.next_report_at.is_some_and(|it| now < it) {
-            return Vec::new();
-        }
-        let interval = match self.verdict(now) {
+        let next = now.plus(match self.verdict(now) {
             Some(_) => timing::RENEWAL_INTERVAL,
             None => timing::SEARCH_INTERVAL,
-        };
-        self.next_report_at = Some(now.plus(interval));
+        });
         let mut ranked: Vec<&Member> = near.iter().collect();
         ranked.sort_by_cached_key(|it| {
             let contact = self.contacts.entry(it.id.clone()).or_default();
-            (contact.is_avoided(now), std::cmp::Reverse(rank(&it.id)))
+            (contact.is_avoided(now), Reverse(rank(&it.id)))
         });
-        ranked.truncate(timing::COORDINATORS);
-        let report = |it: &'a Member| {
-            let contact = self.contacts.entry(it.id.clone()).or_default();
-            contact.record_report(now);
-            (it, !contact.knows_uses)
-        };
-        ranked.into_iter().map(report).collect()
+        let mut due = Vec::new();
+        for (position, member) in ranked.into_iter().enumerate() {
+            let contact = self.contacts.entry(member.id.clone()).or_default();
+            let is_receiver = position < timing::COORDINATORS || contact.has_prompted(now);
+            if is_receiver && contact.is_due(now) {
+                contact.record_report(now, next);
+                due.push((member, !contact.knows_uses));
+            }
+        }
+        due
     }
 
-    /// Makes the next [`Participant::check`] return receivers, because the instance's view has changed.
+    /// Makes the next reports due at once, because the instance's view has changed.
     pub fn report_soon(&mut self) {
-        self.next_report_at = None;
+        self.contacts.values_mut().for_each(Contact::report_soon);
     }
 
-    /// Processes a verdict. Returns whether the instance should report at once.
+    /// Processes a verdict. Returns whether a report is due at once.
     pub fn handle_verdict(&mut self, verdict: RotationVerdict, now: BootInstant) -> bool {
         let is_unexpected = !self.is_active() && verdict.decision == Decision::Leave;
+        let contact = self.contacts.entry(verdict.from.clone()).or_default();
         if verdict.answers.is_none() || is_unexpected {
             // It may be late. The answer to a report shows whether it still applies.
-            self.prompted_until = Some(now.plus(timing::VERDICT_TTL));
-            self.next_report_at = None;
+            contact.record_prompt(now);
             return true;
         }
-        let contact = self.contacts.entry(verdict.from.clone()).or_default();
         contact.record_verdict(verdict, now);
         false
     }
@@ -101,12 +98,20 @@
         let ruling = match self.verdict(now).filter(is_bound) {
             Some(verdict) => Ruling::Verdict(Box::new(verdict.clone())),
             None if now < alone_at => Ruling::Awaited,
+            None if now < alone_at.plus(timing::UNDECIDED_EXTENSION) && self.is_decided_soon() => {
+                Ruling::Awaited
+            }
             None => Ruling::Alone,
         };
         self.is_leaving = matches!(&ruling, Ruling::Verdict(it) if it.decision == Decision::Leave);
         ruling
     }
 
+    /// Whether a coordinator collects reports.
+    fn is_decided_soon(&self) -> bool {
+        self.contacts.values().any(Contact::is_collecting)
+    }
+
     /// The valid verdict of the coordinator that ranks first.
     fn verdict(&self, now: BootInstant) -> Option<&RotationVerdict> {
         let valid = self.contacts.values().filter_map(|it| it.valid_verdict(now));
--- a/crates/gullspar_direct/src/fleet/rotation/timing.rs
+++ b/crates/gullspar_direct/src/fleet/rotation/timing.rs
@@ -14,13 +14,17 @@
 /// How long a coordinator uses a report.
 pub const REPORT_TTL: Duration = Duration::from_secs(1);
 
-/// How long a coordinator waits for the reports of all live instances of its data centre. Instances detect their
-/// isolation up to 200 ms apart.
-pub const COLLECT_PERIOD: Duration = Duration::from_millis(300);
+/// How long a coordinator waits for the reports that it has asked for. All instances that it reaches answer within
+/// milliseconds, unless a message is lost or their machine is busy.
+pub const COLLECT_PERIOD: Duration = Duration::from_millis(150);
 
 /// How long an instance waits for a verdict before it decides alone. Isolation is detected after 0.7 s, and callers are
 /// to be sent elsewhere 1.2 s after the partition.
-pub const DECIDE_ALONE_AFTER: Duration = Duration::from_millis(500);
+pub const DECIDE_ALONE_AFTER: Duration = Duration::from_millis(400);
+
+/// How much longer an instance waits if a coordinator answers that it has not decided yet. It does so within the
+/// collection and a check.
+pub const UNDECIDED_EXTENSION: Duration = Duration::from_millis(200);
 
 /// How long a coordinator that has never answered may take to answer. A round trip in a data centre takes a few
 /// milliseconds.
@@ -32,7 +36,10 @@
 /// How long a coordinator that did not answer is passed over.
 pub const AVOIDANCE_PERIOD: Duration = Duration::from_secs(2);
 
-/// Time between two requests to an instance that has not reported.
+/// Time between two requests to an instance that has not reported, before the first decision.
+pub const COLLECT_PROMPT_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time between two requests to an instance that has not reported, after the first decision.
 pub const PROMPT_INTERVAL: Duration = Duration::from_millis(300);
 
 /// How long the condition to return to rotation must hold. The load balancer asks once a second, so that a shorter change
--- a/crates/gullspar_direct/tests/partitioned_data_centre.rs
+++ b/crates/gullspar_direct/tests/partitioned_data_centre.rs
@@ -167,8 +167,8 @@
 /// Maximum time between the first and the last instance of a data centre that leaves rotation.
 const MAX_SPREAD: Duration = Duration::from_secs(1);
 
-/// Starts a fleet that serves four groups, the first one under [`LATEST`].
-async fn start_fleet_with_groups(world: &mut World) -> Vec<Rc<Proxy>> {
+/// Adds groups to `world`, and returns a configuration of four groups, the first one under [`LATEST`].
+fn add_groups(world: &mut World) -> Catalogue {
     let mut catalogue: Catalogue = support::catalogue_with_connections(2, CONNECTIONS);
     let latest = catalogue.routes[&ServiceName::new(LATEST)].clone();
     for service in MORE_SERVICES {
@@ -178,11 +178,29 @@
         catalogue.routes.insert(service.into(), route);
         world.more_groups.push(FakeGroup::with_member_prefix(service, service, 3));
     }
+    catalogue
+}
+
+/// Starts a fleet that serves four groups.
+async fn start_fleet_with_groups(world: &mut World) -> Vec<Rc<Proxy>> {
+    let catalogue = add_groups(world);
     let proxies = world.fleet_with_catalogue(&members(), &catalogue);
     wait_until_settled(&proxies).await;
     proxies
 }
 
+/// Opens a session that must be refused at once; returns the delay before a retry, in milliseconds.
+async fn refused_for(proxy: &Rc<Proxy>, service: &str) -> u64 {
+    let (caller, link) = FakeCaller::new();
+    compio::runtime::spawn(serve_caller(Rc::clone(proxy), Box::new(link))).detach();
+    let asked = Instant::now();
+    let failure = caller.open_failure(service).await;
+    assert!(asked.elapsed() < REFUSAL_TIMEOUT, "refused after {:?}", asked.elapsed());
+    assert_eq!(failure.code, FailureCode::Congested);
+    let words: Vec<&str> = failure.text.split(' ').collect();
+    words[words.len() - 2].parse().unwrap()
+}
+
 /// Partitions a data centre together with the members of the groups `kept`, which the other instances reach as well.
 fn partition_with_groups(world: &World, partitioned: &[u16], kept: &[GroupName]) {
     let others: Vec<u16> = (1..=FLEET).filter(|it| !partitioned.contains(it)).collect();
@@ -228,6 +246,14 @@
             pause(5).await;
         }
         println!("left rotation: {left:?}");
+        let lost = MORE_SERVICES.iter().find(|it| !kept.contains(&(**it).into())).unwrap();
+        for number in &partitioned {
+            let delay_ms = refused_for(instance(&proxies, *number), lost).await;
+            assert!(
+                (1500..2600).contains(&delay_ms),
+                "until the change takes effect: {delay_ms} ms"
+            );
+        }
         let spread = left[left.len() - 1].1 - left[0].1;
         assert!(spread < MAX_SPREAD, "{left:?}");
         for _ in 0..10 {
@@ -265,11 +291,32 @@
             let proxy = instance(&proxies, *number);
             assert!(proxy.is_ready(), "instance {number}");
             world.caller(proxy, LATEST).await.execute_ok("READ slot").await;
-            let (caller, link) = FakeCaller::new();
-            compio::runtime::spawn(serve_caller(Rc::clone(proxy), Box::new(link))).detach();
-            let asked = Instant::now();
-            assert_eq!(caller.open_err(MORE_SERVICES[0]).await, FailureCode::Congested);
-            assert!(asked.elapsed() < REFUSAL_TIMEOUT, "instance {number}: {:?}", asked.elapsed());
+            assert_eq!(refused_for(proxy, MORE_SERVICES[0]).await, 250, "no change is due");
         }
     });
 }
+
+/// Guards against instances without groups that become ready in a data centre that starts behind a partition, since a
+/// home reaches the leaders of its own groups.
+#[test]
+fn a_data_centre_that_starts_behind_a_partition_becomes_ready_as_a_whole() {
+    run(async {
+        let mut world = World::new();
+        let catalogue = add_groups(&mut world);
+        let started = in_data_centre(0);
+        world.registry.unresponsive.set(true);
+        let members = members().into_iter().filter(|it| started.contains(&it.address.port()));
+        partition_with_groups(&world, &started, &[GROUP.into()]);
+        let proxies: Vec<Rc<Proxy>> =
+            members.map(|it| world.instance_as(it, catalogue.clone())).collect();
+        for _ in 0..40 {
+            pause(100).await;
+            let ready = proxies.iter().filter(|it| it.is_ready()).count();
+            assert_eq!(ready, 0, "of {} are ready", proxies.len());
+        }
+        world.groups().iter().for_each(|it| (0..3).for_each(|member| it.clear_faults(member)));
+        wait_until(3000, "one is ready", || proxies.iter().any(|it| it.is_ready())).await;
+        pause(500).await;
+        assert!(proxies.iter().all(|it| it.is_ready()), "all are ready");
+    });
+}
