Take part in decisions on rotation only once an instance has settled

In the first tenths of a second after a common start, instances know few others, count as isolated, and have found the leaders of some groups only. Five instances that started behind a partition with one leader of four got the verdict to stay and were all ready after 0.1 s.

--- a/crates/gullspar_direct/src/fleet/rotation_exchange.rs
+++ b/crates/gullspar_direct/src/fleet/rotation_exchange.rs
@@ -10,11 +10,9 @@
     Decision, GroupStatus, RotationReport, RotationVerdict, Ruling, timing,
 };
 use crate::groups::group::Group;
+use crate::proxy::SETTLE_PERIOD;
 use crate::{PartitionState, PeerMessage, Phase, Proxy, ROTATION_DELAY};
 
-/// Time after the start in which an instance hears of another data centre or reaches the store, unless it is partitioned.
-const FIRST_CONTACT_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Time in which a new home finds its group's leader. Until then it says nothing about the group, and it does not refuse
 /// sessions.
 const NEW_GROUP_PERIOD: Duration = Duration::from_millis(600);
@@ -42,6 +40,9 @@
 
     /// Sends this instance's view to the coordinators, if it has a reason to and the next report is due.
     fn send_rotation_reports(&self, now: BootInstant) {
+        if !self.takes_part_in_rotation() {
+            return;
+        }
         let is_needed = self.needs_verdict(now);
         let members = self.members();
         let near = members.near(&self.own.data_centre);
@@ -56,6 +57,13 @@
         }
     }
 
+    /// Whether this instance reports and decides. It does not before it knows the leaders of its groups and the other
+    /// instances: the first views after a start would look like those of a partition. It is not ready until then.
+    fn takes_part_in_rotation(&self) -> bool {
+        let is_settled = self.borders.clock.now() >= self.started + SETTLE_PERIOD;
+        is_settled && self.shutdown.phase() == Phase::Serving
+    }
+
     /// Sends `message` to the instance at `to`, which may be this one.
     fn deliver(&self, to: SocketAddr, message: PeerMessage) {
         match to == self.own.address {
@@ -68,7 +76,7 @@
     ///
     /// Where every instance opens its own connections, each knows by itself what it can serve.
     fn needs_verdict(&self, now: BootInstant) -> bool {
-        let is_needed = self.shutdown.phase() == Phase::Serving && self.lacks_contact(now);
+        let is_needed = self.takes_part_in_rotation() && self.lacks_contact(now);
         let is_coordinated = is_needed && (self.rotation.is_coordinated.get() || self.has_homes());
         self.rotation.is_coordinated.set(is_coordinated);
         is_coordinated
@@ -76,8 +84,7 @@
 
     /// Whether this instance is isolated, or has had no contact outside its data centre since its start.
     fn lacks_contact(&self, now: BootInstant) -> bool {
-        let is_overdue = || self.borders.clock.now() >= self.started + FIRST_CONTACT_TIMEOUT;
-        self.peers.is_isolated(now) || (self.has_had_no_contact() && is_overdue())
+        self.peers.is_isolated(now) || self.has_had_no_contact()
     }
 
     /// Whether this instance was never able to serve, knows of no instance of another data centre, and never reached the
@@ -179,7 +186,7 @@
 
     /// Processes the report of an instance that considers this one a coordinator, and answers it.
     pub(crate) fn handle_rotation_report(&self, report: RotationReport) {
-        if self.shutdown.phase() != Phase::Serving {
+        if !self.takes_part_in_rotation() {
             return;
         }
         let now = self.borders.clock.boot_now();
--- a/crates/gullspar_direct/tests/partitioned_data_centre.rs
+++ b/crates/gullspar_direct/tests/partitioned_data_centre.rs
@@ -304,11 +304,11 @@
         let mut world = World::new();
         let catalogue = add_groups(&mut world);
         let started = in_data_centre(0);
-        world.registry.unresponsive.set(true);
-        let members = members().into_iter().filter(|it| started.contains(&it.address.port()));
+        // They know each other's addresses, and no others.
+        let mut members = members();
+        members.retain(|it| started.contains(&it.address.port()));
         partition_with_groups(&world, &started, &[GROUP.into()]);
-        let proxies: Vec<Rc<Proxy>> =
-            members.map(|it| world.instance_as(it, catalogue.clone())).collect();
+        let proxies = world.fleet_with_catalogue(&members, &catalogue);
         for _ in 0..40 {
             pause(100).await;
             let ready = proxies.iter().filter(|it| it.is_ready()).count();
