Report to the asking coordinator only, while there is no other reason

An instance that is not isolated and is asked for a report also reported to the first two coordinators, as if it were isolated. Two isolated instances of a healthy data centre made all others send three reports instead of one.

--- a/crates/gullspar_direct/src/fleet/rotation/participant.rs
+++ b/crates/gullspar_direct/src/fleet/rotation/participant.rs
@@ -41,7 +41,8 @@
         now: BootInstant,
     ) -> Vec<(&'a Member, bool)> {
         let is_prompted = self.contacts.values().any(|it| it.has_prompted(now));
-        if !is_needed && !is_prompted && !self.is_leaving {
+        let has_reason = is_needed || self.is_leaving;
+        if !has_reason && !is_prompted {
             *self = Participant::default();
             return Vec::new();
         }
@@ -58,7 +59,8 @@
         let mut due = Vec::new();
         for (position, member) in ranked.into_iter().enumerate() {
             let contact = self.contacts.entry(member.id.clone()).or_default();
-            let is_receiver = position < timing::COORDINATORS || contact.has_prompted(now);
+            let is_coordinator = has_reason && position < timing::COORDINATORS;
+            let is_receiver = is_coordinator || contact.has_prompted(now);
             if is_receiver && contact.is_due(now) {
                 contact.record_report(now, next);
                 due.push((member, !contact.knows_uses));
