--- a/crates/gullspar_direct/src/fleet/rotation_exchange.rs
+++ b/crates/gullspar_direct/src/fleet/rotation_exchange.rs
@@ -1,6 +1,7 @@
 //! Exchanges reports and verdicts about rotation, and applies what follows from them.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use gullspar_border::BootInstant;
@@ -143,7 +144,7 @@
         };
         let groups = self.groups();
         let reported = groups.iter().filter(|it| !self.is_new_home(it));
-        let status = |group: &std::rc::Rc<Group>| GroupStatus {
+        let status = |group: &Rc<Group>| GroupStatus {
             group: group.name.clone(),
             has_leader: self.can_reach_leader(group),
             sample_age_ms: group.newest_position_sample().map(|it| {
