--- a/crates/gullspar_direct/src/fleet/heartbeats.rs
+++ b/crates/gullspar_direct/src/fleet/heartbeats.rs
@@ -142,6 +142,8 @@
             PeerMessage::QuotaHandover(handover) => self.apply_quota_handover(&handover),
             PeerMessage::HomeProbe(probe) => self.answer_home_probe(&probe),
             PeerMessage::HomeProbeAnswer(answer) => self.apply_home_probe_answer(&answer),
+            PeerMessage::RotationReport(report) => self.handle_rotation_report(report),
+            PeerMessage::RotationVerdict(verdict) => self.handle_rotation_verdict(verdict),
         }
     }
 
--- a/crates/gullspar_direct/src/fleet/peer_message.rs
+++ b/crates/gullspar_direct/src/fleet/peer_message.rs
@@ -3,6 +3,7 @@
 use gullspar_customer::{QuotaHandover, TokenGrant, TokenRequest};
 use gullspar_model::record;
 
+use crate::fleet::rotation::{RotationReport, RotationVerdict};
 use crate::{Heartbeat, HomeProbe, HomeProbeAnswer};
 
 record! {
@@ -14,5 +15,7 @@
         QuotaHandover(QuotaHandover),
         HomeProbe(HomeProbe),
         HomeProbeAnswer(HomeProbeAnswer),
+        RotationReport(RotationReport),
+        RotationVerdict(RotationVerdict),
     }
 }
--- a/crates/gullspar_direct/src/proxy.rs
+++ b/crates/gullspar_direct/src/proxy.rs
@@ -13,6 +13,7 @@
 use crate::fleet::home_monitor::HomeMonitor;
 use crate::fleet::home_plan::{HomePlan, OwnGroups};
 use crate::fleet::limits::Limits;
+use crate::fleet::rotation_state::RotationState;
 use crate::groups::group::Group;
 use crate::{Borders, Directory, Member, PartitionState, PeerTable, Phase, Shutdown};
 
@@ -72,6 +73,7 @@
     pub(crate) home_plans: RefCell<BTreeMap<GroupName, HomePlan>>,
     pub(crate) own_groups: RefCell<OwnGroups>,
     pub(crate) limits: Limits,
+    pub(crate) rotation: RotationState,
     /// When the platform's store last answered this instance.
     pub(crate) last_store_contact: RefCell<Option<BootInstant>>,
     pub(crate) started: Instant,
@@ -86,6 +88,7 @@
     pub fn new(own: Identity, seeds: Vec<SocketAddr>, borders: Borders) -> Rc<Proxy> {
         let started = borders.clock.now();
         let has_seeds = !seeds.is_empty();
+        let rotation = RotationState::new(own.id.clone());
         Rc::new(Proxy {
             borders,
             peers: Rc::new(PeerTable::new(own.member(), seeds)),
@@ -100,6 +103,7 @@
             home_plans: RefCell::default(),
             own_groups: RefCell::default(),
             limits: Limits::default(),
+            rotation,
             last_store_contact: RefCell::new(None),
             started,
             has_seeds,
--- a/crates/gullspar_direct/src/session/caller_opening.rs
+++ b/crates/gullspar_direct/src/session/caller_opening.rs
@@ -7,6 +7,7 @@
     Answer, CallerLink, CallerLinkError, CallerMessage, Failure, FailureCode, TransactionStatus,
 };
 
+use crate::fleet::rotation::UseCounter;
 use crate::session::caller_session::{Session, no_such_service};
 use crate::session::opening::Opening;
 use crate::session::refusal;
@@ -46,9 +47,14 @@
         Err(answer) => return link.reply(&answer).await,
     };
     let other_homes = proxy.other_homes(&route.group);
+    let use_counter = proxy.rotation.recent_use.counter(&route);
+    use_counter.record();
     match other_homes.or_else(|| proxy.forwarding_candidates(&route.group)) {
-        Some(homes) => forward(proxy, link, opening, route, &homes).await,
-        None => Session::serve_session(proxy, link, SessionStart::new(opening, customer)).await,
+        Some(homes) => forward(proxy, link, opening, route, &homes, use_counter).await,
+        None => {
+            let start = SessionStart::new(opening, customer).counted_by(use_counter);
+            Session::serve_session(proxy, link, start).await
+        }
     }
 }
 
@@ -77,7 +83,7 @@
     let candidates = proxy.forwarding_candidates(&route.group);
     proxy.hold_group(&route.group);
     if candidates.is_some() {
-        return link.reply(&relay::no_home()).await;
+        return link.reply(&relay::no_home(proxy)).await;
     }
     let start = SessionStart::new(opening, customer).restored(restored);
     Session::serve_session(proxy, link, start).await
@@ -121,7 +127,7 @@
         && !proxy.wait_until_caught_up(opening, sender).await
     {
         // The instance that forwarded the session tries another home.
-        return Err(relay::no_home());
+        return Err(relay::no_home(proxy));
     }
     let Some(catalogue) = proxy.directory.catalogue() else {
         return Err(refused(refusal::not_run(NotRun::Unreachable)));
@@ -137,7 +143,8 @@
         return Err(refused(refusal::unknown_key()));
     };
     if let Some(reason) = proxy.session_refusal(&route, forwarded.is_some()) {
-        log::info!(service = service.as_str(), reason = reason.text(); "G0764 a session was refused when it was opened");
+        proxy.borders.stats.opening_refused(proxy.shutdown.partition_state());
+        log::info!(service = service.as_str(), reason = reason.text(), retry_after_ms = reason.retry_after_ms(); "G0764 a session was refused when it was opened");
         return Err(refused(refusal::not_run(reason)));
     }
     Ok(Admitted { route, customer })
@@ -150,13 +157,14 @@
     opening: Opening,
     route: Route,
     homes: &[Member],
+    use_counter: UseCounter,
 ) -> Result<(), CallerLinkError> {
     let forwarded =
         ForwardedSession { catalogue_version: proxy.directory.version(), group: route.group };
-    let end = Relay::run(proxy, link, opening, forwarded, homes).await?;
+    let end = Relay::run(proxy, link, opening, forwarded, homes, use_counter).await?;
     let RelayEnd::ServeHere(session) = end else { return Ok(()) };
     // The customer is looked up before each statement.
     let start = SessionStart::new(session.opening, None).restored(Some(session.restored));
-    let start = start.continued_with(session.unanswered);
+    let start = start.continued_with(session.unanswered).counted_by(session.use_counter);
     Session::serve_session(proxy, session.caller, start).await
 }
--- a/crates/gullspar_direct/src/session/caller_session.rs
+++ b/crates/gullspar_direct/src/session/caller_session.rs
@@ -10,6 +10,7 @@
     Answer, CallerLink, CallerLinkError, CallerMessage, Failure, FailureCode, TransactionStatus,
 };
 
+use crate::fleet::rotation::UseCounter;
 use crate::session::opening::Opening;
 use crate::session::session_start::SessionStart;
 use crate::session::trace::Trace;
@@ -23,6 +24,8 @@
     pub(super) opening: Opening,
     /// The customer found by the last check of the key.
     pub(super) customer: Option<CustomerName>,
+    /// Counts the statements of a caller that is connected to this instance; `None` for a forwarded session.
+    pub(super) use_counter: Option<UseCounter>,
     pub(super) values: SessionValues,
     pub(super) own_commit: Option<LogPoint>,
     pub(super) transaction: Option<Transaction>,
@@ -69,6 +72,7 @@
             link,
             opening: start.opening,
             customer: start.customer,
+            use_counter: start.use_counter,
             values: start.values,
             own_commit: start.own_commit,
             transaction: None,
--- a/crates/gullspar_direct/src/session/relay.rs
+++ b/crates/gullspar_direct/src/session/relay.rs
@@ -14,6 +14,7 @@
     Answer, CallerLink, CallerLinkError, CallerMessage, Failure, FailureCode, TransactionStatus,
 };
 
+use crate::fleet::rotation::UseCounter;
 use crate::session::caller_session::no_such_service;
 use crate::session::forwarded_state::{ForwardedState, Recovery};
 use crate::session::home_opening::{self, Home};
@@ -26,6 +27,7 @@
     proxy: Rc<Proxy>,
     caller: Box<dyn CallerLink>,
     opening: Opening,
+    use_counter: UseCounter,
     /// `None` after the home was lost, until the next statement.
     home: Option<Home>,
     state: ForwardedState,
@@ -46,6 +48,7 @@
 pub(crate) struct HandedOver {
     pub(crate) caller: Box<dyn CallerLink>,
     pub(crate) opening: Opening,
+    pub(crate) use_counter: UseCounter,
     pub(crate) restored: RestoredSession,
     /// Messages that are not answered yet.
     pub(crate) unanswered: VecDeque<CallerMessage>,
@@ -86,11 +89,12 @@
         opening: Opening,
         forwarded: ForwardedSession,
         homes: &[Member],
+        use_counter: UseCounter,
     ) -> Result<RelayEnd, CallerLinkError> {
         let first = RelayMessage::Caller(opening.message());
         let Some((opened, home)) = home_opening::open(proxy, homes, &first, &forwarded).await
         else {
-            caller.reply(&no_home()).await?;
+            caller.reply(&no_home(proxy)).await?;
             return Ok(RelayEnd::Closed);
         };
         caller.reply(&opened).await?;
@@ -98,6 +102,7 @@
             proxy: Rc::clone(proxy),
             caller,
             opening,
+            use_counter,
             home: Some(home),
             state: ForwardedState::new(),
             ending: false,
@@ -202,6 +207,7 @@
         }
         let route = self.proxy.directory.route(&self.opening.service);
         let timeout = route.map_or(Duration::ZERO, |it| Duration::from_millis(it.statement_ms));
+        self.use_counter.record();
         self.state.push(message, self.proxy.borders.clock.now() + timeout);
         if self.home.is_none() || self.is_home_unresponsive() {
             return self.recover().await;
@@ -373,8 +379,13 @@
     fn hand_over(self) -> RelayEnd {
         let restored = self.state.restored(&self.opening);
         let unanswered = self.state.unanswered.into_iter().map(|it| it.message).collect();
-        let (caller, opening) = (self.caller, self.opening);
-        RelayEnd::ServeHere(Box::new(HandedOver { caller, opening, restored, unanswered }))
+        RelayEnd::ServeHere(Box::new(HandedOver {
+            caller: self.caller,
+            opening: self.opening,
+            use_counter: self.use_counter,
+            restored,
+            unanswered,
+        }))
     }
 }
 
@@ -391,6 +402,6 @@
 }
 
 /// The answer when no home can serve the session.
-pub(crate) fn no_home() -> Answer {
-    Answer::failed(refusal::not_run(NotRun::Unreachable), TransactionStatus::Idle)
+pub(crate) fn no_home(proxy: &Proxy) -> Answer {
+    Answer::failed(refusal::not_run(proxy.unreachable_reason()), TransactionStatus::Idle)
 }
--- a/crates/gullspar_direct/src/session/session_start.rs
+++ b/crates/gullspar_direct/src/session/session_start.rs
@@ -5,6 +5,7 @@
 use gullspar_model::{CustomerName, LogPoint};
 use gullspar_statement::CallerMessage;
 
+use crate::fleet::rotation::UseCounter;
 use crate::session::opening::Opening;
 use crate::{RestoredSession, SessionValues};
 
@@ -12,6 +13,8 @@
 pub(crate) struct SessionStart {
     pub(super) opening: Opening,
     pub(super) customer: Option<CustomerName>,
+    /// Counts the statements of a caller that is connected to this instance; `None` for a forwarded session.
+    pub(super) use_counter: Option<UseCounter>,
     pub(super) values: SessionValues,
     pub(super) own_commit: Option<LogPoint>,
     /// Whether the first statement that needs a target is a read that was already sent to another home.
@@ -26,6 +29,7 @@
         SessionStart {
             opening,
             customer,
+            use_counter: None,
             values: SessionValues::default(),
             own_commit: None,
             repeats_read: false,
@@ -33,6 +37,11 @@
         }
     }
 
+    /// With a counter of its statements, for a caller that is connected to this instance.
+    pub(crate) fn counted_by(self, use_counter: UseCounter) -> SessionStart {
+        SessionStart { use_counter: Some(use_counter), ..self }
+    }
+
     /// With the state that the session had at another instance.
     pub(crate) fn restored(self, restored: Option<RestoredSession>) -> SessionStart {
         let Some(RestoredSession { values, own_commit, repeats_read, .. }) = restored else {
