--- a/crates/gullspar_direct/src/targets/connection_pool.rs
+++ b/crates/gullspar_direct/src/targets/connection_pool.rs
@@ -158,6 +158,15 @@
         Some(self.dial(spec, customer, deadline).await)
     }
 
+    /// Waits until a connection is idle if all are in use, for at most [`CHECK_WAIT_TIMEOUT`].
+    pub(crate) async fn wait_for_idle(&self) {
+        let until = self.clock.now() + CHECK_WAIT_TIMEOUT;
+        while self.open.get() > 0 && self.idle.len() == 0 && self.clock.now() < until {
+            // The loop condition is checked again in either case.
+            let _ = within(&*self.clock, until, self.freed.listen()).await;
+        }
+    }
+
     /// Acquires a connection of `customer`, preferably one that has the session values `values`.
     ///
     /// # Errors
--- a/crates/gullspar_direct/src/targets/target.rs
+++ b/crates/gullspar_direct/src/targets/target.rs
@@ -56,6 +56,7 @@
     point: Cell<Option<LogPoint>>,
     missed_checks: Cell<u32>,
     last_response_at: Cell<Option<BootInstant>>,
+    last_check_at: Cell<Option<BootInstant>>,
     in_flight: Cell<u32>,
     share: Cell<pacing::Share>,
     /// Running mean of statement durations, in microseconds; `None` until a statement was answered.
@@ -90,6 +91,7 @@
             point: Cell::new(None),
             missed_checks: Cell::new(0),
             last_response_at: Cell::new(None),
+            last_check_at: Cell::new(None),
             in_flight: Cell::new(0),
             share: Cell::new(pacing::Share::default()),
             mean_us: Cell::new(None),
@@ -160,6 +162,16 @@
         self.last_response_at.set(Some(now));
     }
 
+    /// Records that the target answered a check.
+    pub(crate) fn record_answered_check(&self, now: BootInstant) {
+        self.last_check_at.set(Some(now));
+    }
+
+    /// Whether the target answered a check since `instant`.
+    pub(crate) fn has_answered_check_since(&self, instant: BootInstant) -> bool {
+        self.last_check_at.get().is_some_and(|at| at >= instant)
+    }
+
     /// Records a missed check. Returns whether the target became unresponsive with this check.
     pub(crate) fn record_missed_check(&self) -> bool {
         self.missed_checks.set(self.missed_checks.get().saturating_add(1));
--- a/crates/gullspar_direct/src/targets/target_watch.rs
+++ b/crates/gullspar_direct/src/targets/target_watch.rs
@@ -29,6 +29,10 @@
 /// Time without an answer after which a check opens a connection of its own if statements use all others.
 const OVERDUE_AFTER: Duration = Duration::from_millis(250);
 
+/// Time without an answer to a check after which this applies as well while the group has no leader, although statements
+/// are answered. Limits the connections that are opened for checks.
+const LEADERLESS_OVERDUE_AFTER: Duration = Duration::from_millis(200);
+
 /// Delay of the next check after a target refused a connection because it was congested or had too many connections.
 const FULL_CHECK_DELAY: Duration = Duration::from_millis(200);
 
@@ -90,7 +94,14 @@
 
 /// Checks the target once, unless statements use all connections and the target answered recently.
 pub(crate) async fn check(borders: &Borders, group: &Group, target: &Target) -> CheckResult {
-    let overdue = !target.has_responded_since(borders.clock.boot_now().minus(OVERDUE_AFTER));
+    if group.leader().is_none() {
+        // The target may be the new leader, which only a check shows, however busy it is with reads.
+        target.pool.wait_for_idle().await;
+    }
+    let now = borders.clock.boot_now();
+    let overdue = !target.has_responded_since(now.minus(OVERDUE_AFTER))
+        || group.leader().is_none()
+            && !target.has_answered_check_since(now.minus(LEADERLESS_OVERDUE_AFTER));
     run_check(borders, group, target, overdue).await
 }
 
@@ -125,6 +136,7 @@
     };
     let Some(first) = answers.first() else { return CheckResult::Missed };
     target.record_point(first.point);
+    target.record_answered_check(clock.boot_now());
     match (&first.result, first.point) {
         (Ok(_), Some(point)) => group.record_leader(&spec.member, point, requested_at),
         (Err(failure), _) if failure.code == FailureCode::ReadOnly => {
