Test a busy replica that becomes the leader, with fakes that receive and don't apply

The fake members apply commits late, tell what they have received after a lag, and may refuse to tell it; the fake store may answer late.

--- a/crates/gullspar_direct/tests/failover.rs
+++ b/crates/gullspar_direct/tests/failover.rs
@@ -8,7 +8,7 @@
 use gullspar_model::Term;
 use gullspar_statement::FailureCode;
 use support::{
-    BOUNDED, FAILOVER_TIMEOUT_MS, Fault, LATEST, World, leader_of, pause, run, wait_until,
+    BOUNDED, FAILOVER_TIMEOUT_MS, Fault, LATEST, Load, World, leader_of, pause, run, wait_until,
 };
 
 /// Guards against writes that fail permanently once a leader is unresponsive, and against promoting more than once.
@@ -195,3 +195,20 @@
         assert_eq!(world.group.value("slot"), None);
     });
 }
+
+/// Guards against a new leader that is not found while reads use all its connections.
+#[test]
+fn a_busy_replica_that_becomes_the_leader_is_found() {
+    run(async {
+        let world = World::new();
+        world.group.statement_duration_ms.set(150);
+        let proxies = vec![world.instance(1)];
+        world.wait_for_leader(&proxies[0]).await;
+        let load = Load::start(&world, &proxies, 40, 4).await;
+        pause(1000).await;
+        world.group.promote(&"m1".into());
+        wait_until(600, "the new leader is used", || leader_of(&proxies[0]) == Some("m1".into()))
+            .await;
+        load.stop().await;
+    });
+}
--- a/crates/gullspar_direct/tests/support/fake_claims.rs
+++ b/crates/gullspar_direct/tests/support/fake_claims.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::rc::Rc;
+use std::time::Duration;
 
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
@@ -21,6 +22,8 @@
     unavailable_to: RefCell<BTreeSet<u16>>,
     /// Claims take effect, but their answers are lost.
     pub loses_answers: Cell<bool>,
+    /// Time until an answer arrives, in milliseconds; calls take effect at once.
+    pub answer_delay_ms: Cell<u64>,
     pub calls: Cell<u64>,
 }
 
@@ -70,6 +73,19 @@
     }
 }
 
+impl InstanceClaims {
+    fn answer_later<T: 'static>(&self, result: T) -> LocalBoxFuture<'static, T> {
+        let delay = Duration::from_millis(self.claims.answer_delay_ms.get());
+        async move {
+            if !delay.is_zero() {
+                compio::time::sleep(delay).await;
+            }
+            result
+        }
+        .boxed_local()
+    }
+}
+
 impl Claims for InstanceClaims {
     fn current<'a>(
         &'a self,
@@ -81,7 +97,7 @@
         } else {
             Ok(self.claims.stored.borrow().clone())
         };
-        async move { result }.boxed_local()
+        self.answer_later(result)
     }
 
     fn claim<'a>(
@@ -104,6 +120,6 @@
                 Ok(token)
             }
         };
-        async move { result }.boxed_local()
+        self.answer_later(result)
     }
 }
--- a/crates/gullspar_direct/tests/support/fake_group.rs
+++ b/crates/gullspar_direct/tests/support/fake_group.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use gullspar_model::{CustomerName, LogPoint, MemberName};
 use gullspar_statement::{TargetDialer, TargetSpec};
@@ -25,8 +26,10 @@
 
 pub(super) struct Member {
     pub(super) name: MemberName,
-    /// Number of the group's commits in its log.
+    /// Number of the group's commits that it has applied.
     pub(super) replicated_commits: Cell<u64>,
+    /// Number of the group's commits that it has received; counted only while it applies them late.
+    received_commits: Cell<u64>,
     /// The term of the newest commit in its log.
     pub(super) term: Cell<u64>,
     pub(super) faults: RefCell<BTreeSet<Fault>>,
@@ -44,6 +47,12 @@
     pub(super) term: Cell<u64>,
     /// Number of commits in the leader's log.
     commits: Cell<u64>,
+    /// When each of these commits was made.
+    commit_times: RefCell<Vec<Instant>>,
+    /// Time until a member that applies commits late has received one, in milliseconds.
+    pub receive_lag_ms: Cell<u64>,
+    /// Number of coming queries for a received position that are refused.
+    pub queries_to_refuse: Cell<u32>,
     /// The term of the newest commit. A promotion changes it only with the new leader's first commit.
     newest_commit_term: Cell<u64>,
     /// Each item's value, and the number of the commit that wrote it.
@@ -76,6 +85,7 @@
             Rc::new(Member {
                 name: MemberName::new(format!("m{index}")),
                 replicated_commits: Cell::new(0),
+                received_commits: Cell::new(0),
                 term: Cell::new(1),
                 faults: RefCell::default(),
                 leaving: Cell::new(false),
@@ -89,6 +99,9 @@
             leader: Cell::new(0),
             term: Cell::new(1),
             commits: Cell::new(0),
+            commit_times: RefCell::default(),
+            receive_lag_ms: Cell::new(0),
+            queries_to_refuse: Cell::new(0),
             newest_commit_term: Cell::new(1),
             data: RefCell::default(),
             executed: RefCell::default(),
@@ -149,6 +162,7 @@
         let member = &self.members[member];
         member.started_ms.set(member.started_ms.get() + 1);
         member.replicated_commits.set(0);
+        member.received_commits.set(0);
         member.faults.borrow_mut().insert(Fault::ReplicationStopped);
     }
 
@@ -157,6 +171,7 @@
         let started_ms = &self.members[member].started_ms;
         started_ms.set(started_ms.get() + 1);
         self.commits.set(0);
+        self.commit_times.borrow_mut().clear();
     }
 
     /// Makes `name` the leader of the next term and undoes the commits that it doesn't have. Has no effect on the
@@ -166,13 +181,16 @@
         if index == self.leader.get() {
             return;
         }
-        let commits = self.members[index].replicated_commits.get();
+        let commits = self.received_commits(&self.members[index]);
+        self.members[index].faults.borrow_mut().remove(&Fault::AppliesLate);
+        self.commit_times.borrow_mut().truncate(commits as usize);
         self.data.borrow_mut().retain(|_, (_, number)| *number <= commits);
         // A member whose replication is stopped keeps its log.
         let replicating =
             self.members.iter().filter(|it| !self.has_fault(it, Fault::ReplicationStopped));
         replicating
             .for_each(|it| it.replicated_commits.set(it.replicated_commits.get().min(commits)));
+        self.members.iter().for_each(|it| it.received_commits.set(0));
         self.commits.set(commits);
         self.leader.set(index);
         self.term.set(self.term.get() + 1);
@@ -221,19 +239,43 @@
     /// The end of the member's log. A member that replicates is first brought up to date.
     pub(super) fn point(&self, member: &Member) -> LogPoint {
         let is_stopped = self.has_fault(member, Fault::ReplicationStopped);
-        if self.is_leader(member) || !is_stopped {
+        let is_late = self.has_fault(member, Fault::AppliesLate);
+        if self.is_leader(member) || !is_stopped && !is_late {
             member.replicated_commits.set(self.commits.get());
             member.term.set(self.newest_commit_term.get());
         }
         LogPoint::new(member.term.get(), member.replicated_commits.get())
     }
 
+    /// The end of the log that the member has received.
+    pub(super) fn received_point(&self, member: &Member) -> LogPoint {
+        let applied = self.point(member);
+        let received = self.received_commits(member);
+        if received > applied.position.0 {
+            LogPoint::new(self.newest_commit_term.get(), received)
+        } else {
+            applied
+        }
+    }
+
+    /// Number of the commits that the member has received.
+    fn received_commits(&self, member: &Member) -> u64 {
+        let is_late = self.has_fault(member, Fault::AppliesLate);
+        if is_late && !self.has_fault(member, Fault::ReplicationStopped) {
+            let lag = Duration::from_millis(self.receive_lag_ms.get());
+            let arrived = self.commit_times.borrow().partition_point(|it| it.elapsed() >= lag);
+            member.received_commits.set(arrived as u64);
+        }
+        member.received_commits.get().max(member.replicated_commits.get())
+    }
+
     /// Commits `writes` in the current term.
     pub fn commit(&self, writes: &[(String, String)]) {
         if writes.is_empty() {
             return;
         }
         self.commits.set(self.commits.get() + 1);
+        self.commit_times.borrow_mut().push(Instant::now());
         self.newest_commit_term.set(self.term.get());
         for (item, value) in writes {
             let entry = (value.clone(), self.commits.get());
--- a/crates/gullspar_direct/tests/support/fake_target.rs
+++ b/crates/gullspar_direct/tests/support/fake_target.rs
@@ -166,7 +166,7 @@
                 self.prepared.insert(name.to_string(), format!("{verb} {}", definition.shape));
                 Ok(None)
             }
-            TargetCommand::ReceivedPoint => Ok(None),
+            TargetCommand::ReceivedPoint => return Ok(self.answer_received_point()),
             TargetCommand::Run { text, at_least, .. } => {
                 return self.run_for_caller(text.as_str(), at_least).await;
             }
@@ -180,6 +180,17 @@
         Ok(self.answer(Vec::new(), result))
     }
 
+    fn answer_received_point(&self) -> Answer {
+        let to_refuse = self.group.queries_to_refuse.get();
+        if to_refuse > 0 {
+            self.group.queries_to_refuse.set(to_refuse - 1);
+            // As on the platform, a refusal tells no received position.
+            return Answer { point: None, ..self.answer(Vec::new(), Err(FailureCode::Congested)) };
+        }
+        let point = Some(self.group.received_point(&self.member));
+        Answer { point, ..self.answer(Vec::new(), Ok(None)) }
+    }
+
     async fn run_for_caller(
         &mut self,
         text: &str,
--- a/crates/gullspar_direct/tests/support/fault.rs
+++ b/crates/gullspar_direct/tests/support/fault.rs
@@ -25,4 +25,6 @@
     Slow(u64),
     /// It receives no further commits from the leader.
     ReplicationStopped,
+    /// It receives commits from the leader and applies none of them.
+    AppliesLate,
 }
--- a/crates/gullspar_direct/tests/support/mod.rs
+++ b/crates/gullspar_direct/tests/support/mod.rs
@@ -13,6 +13,7 @@
 mod fake_relay;
 mod fake_target;
 mod fault;
+mod load;
 
 use std::future::Future;
 use std::net::SocketAddr;
@@ -34,6 +35,7 @@
 pub use fake_promoter::FakePromoter;
 pub use fake_registry::FakeRegistry;
 pub use fault::Fault;
+pub use load::Load;
 
 pub const GROUP: &str = "group-1";
 
