Decide whether a leader that answers is to be replaced

A leader that is left alone with its group's load, or that is slow or failing, is never replaced today. The decision has no I/O: from the reports of homes it compares what callers lose if the leader stays with what a transfer costs.

--- a/crates/gullspar_direct/src/groups/mod.rs
+++ b/crates/gullspar_direct/src/groups/mod.rs
@@ -7,4 +7,6 @@
 pub(crate) mod failover;
 pub(crate) mod failover_timing;
 pub(crate) mod group;
+pub(crate) mod leader_report;
+pub(crate) mod transfer_decision;
 pub(crate) mod votes;
--- a/crates/gullspar_direct/src/lib.rs
+++ b/crates/gullspar_direct/src/lib.rs
@@ -30,6 +30,10 @@
     Claim, ClaimError, Claims, CurrentClaim, FencingToken, PromoteError, Promoter,
 };
 pub use groups::group::{Group, Leader};
+pub use groups::leader_report::{LeaderReport, LeaderReports};
+pub use groups::transfer_decision::{
+    TransferCause, TransferInputs, TransferJudge, TransferVerdict,
+};
 pub use groups::votes::{Verdict, VoteTally};
 pub use gullspar_membership::Member;
 pub use proxy::{Identity, Proxy, ROTATION_DELAY};
