--- a/crates/gullspar_direct/src/fleet/heartbeats.rs
+++ b/crates/gullspar_direct/src/fleet/heartbeats.rs
@@ -21,6 +21,8 @@
 struct LastSent {
     /// When the next full round is due.
     next_round: Option<Instant>,
+    /// When reports about leaders were last sent.
+    leader_reports_at: Option<BootInstant>,
     views: BTreeMap<GroupName, GroupView>,
     catalogue_version: u64,
 }
@@ -36,6 +38,7 @@
             let sent_at = clock.now();
             let is_due = last_sent.next_round.is_none_or(|it| sent_at >= it);
             self.send_round(&mut last_sent, is_due);
+            self.send_leader_reports(&mut last_sent.leader_reports_at);
             if is_due {
                 last_sent.next_round = Some(sent_at + HEARTBEAT_INTERVAL);
             }
@@ -140,6 +143,7 @@
             PeerMessage::TokenRequest(req) => self.answer_token_request(&req),
             PeerMessage::TokenGrant(grant) => self.apply_grant(&grant),
             PeerMessage::QuotaHandover(handover) => self.apply_quota_handover(&handover),
+            PeerMessage::LeaderReports(reports) => self.apply_leader_reports(reports),
         }
     }
 
@@ -151,7 +155,12 @@
         let now = self.borders.clock.boot_now();
         for view in &heartbeat.views {
             if let (Some(claim), Some(group)) = (&view.claim, self.group(&view.group)) {
+                let known = group.claims().token();
                 group.claims().apply_report(claim, heartbeat.from(), now);
+                if group.claims().token() != known {
+                    // A transfer waits until the other homes report that they know of its claim.
+                    group.notify();
+                }
             }
         }
         let (address, gossip) = (heartbeat.address(), heartbeat.gossip.clone());
--- a/crates/gullspar_direct/src/fleet/home_groups.rs
+++ b/crates/gullspar_direct/src/fleet/home_groups.rs
@@ -1,5 +1,6 @@
 //! The groups that this instance serves, with their targets and its share of the targets' capacity.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -90,7 +91,8 @@
         if group.target(&spec.member).is_some_and(|it| it.spec().is_restarted_in(&spec)) {
             log::info!(member = spec.member.as_str(), group = spec.group.as_str(); "G0758 a target has restarted");
             group.remove(&spec.member);
-            group.record_not_leader(&spec.member, self.borders.clock.now());
+            let clock = &self.borders.clock;
+            group.record_not_leader(&spec.member, clock.now(), clock.boot_now());
         }
         let target = group.target(&spec.member).unwrap_or_else(|| self.new_target(&group, &spec));
         target.set_share(pacing::Share::of(spec.slots, holders));
@@ -216,6 +218,7 @@
             group: Rc::clone(&group),
             shutdown: Rc::clone(&self.shutdown),
             settle_until: self.started + SETTLE_PERIOD,
+            judge: RefCell::default(),
         };
         compio::runtime::spawn(coordinator.run()).detach();
         group
--- a/crates/gullspar_direct/src/fleet/mod.rs
+++ b/crates/gullspar_direct/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod home_plan;
 pub mod homes;
 pub(crate) mod last_known;
+pub(crate) mod leader_reports;
 pub(crate) mod limits;
 pub(crate) mod members;
 pub(crate) mod partition;
--- a/crates/gullspar_direct/src/fleet/peer_message.rs
+++ b/crates/gullspar_direct/src/fleet/peer_message.rs
@@ -3,7 +3,7 @@
 use gullspar_customer::{QuotaHandover, TokenGrant, TokenRequest};
 use gullspar_model::record;
 
-use crate::Heartbeat;
+use crate::{Heartbeat, LeaderReports};
 
 record! {
     /// The content of one datagram.
@@ -12,5 +12,6 @@
         TokenRequest(TokenRequest),
         TokenGrant(TokenGrant),
         QuotaHandover(QuotaHandover),
+        LeaderReports(LeaderReports),
     }
 }
--- a/crates/gullspar_direct/src/fleet/views.rs
+++ b/crates/gullspar_direct/src/fleet/views.rs
@@ -9,7 +9,8 @@
 use gullspar_membership::{DEAD_COUNTED_PERIOD, Member};
 use gullspar_model::{GroupName, InstanceId, MemberName, Revision};
 
-use crate::{GroupView, Heartbeat, LeaderHealth};
+use crate::groups::claim_spread::ClaimSpread;
+use crate::{FencingToken, GroupView, Heartbeat, LeaderHealth};
 
 /// An instance is alive if something was received from it within this time; this tolerates five
 /// lost heartbeats in a row.
@@ -22,7 +23,7 @@
 ///
 /// This tolerates one lost heartbeat. It is shorter than the time that instances on the other side
 /// of a partition need to promote a successor.
-const CONFIRMATION_TTL: Duration = Duration::from_millis(350);
+pub(crate) const CONFIRMATION_TTL: Duration = Duration::from_millis(350);
 
 struct Received {
     heartbeat: Heartbeat,
@@ -139,6 +140,25 @@
         2 * confirming > self.counted_for(group, now)
     }
 
+    /// Which of the other instances that are counted for `group` have reported the claim with `token`, or a later one.
+    pub(crate) fn claim_spread(
+        &self,
+        group: &GroupName,
+        token: FencingToken,
+        now: BootInstant,
+    ) -> ClaimSpread {
+        let knows = |view: &GroupView| view.claim.as_ref().is_some_and(|it| it.token >= token);
+        let counted = self.select_monitors(group, now, DEAD_COUNTED_PERIOD, |it, view| {
+            (!it.is_leaving()).then(|| knows(view))
+        });
+        let running = self.select_monitors(group, now, ALIVE_TIMEOUT, |_, view| Some(knows(view)));
+        ClaimSpread {
+            counted: counted.len(),
+            informed: counted.into_iter().filter(|it| *it).count(),
+            running_uninformed: running.into_iter().filter(|it| !*it).count(),
+        }
+    }
+
     /// Other instances that take work and recently saw a leader of `group`.
     pub(crate) fn members_seeing_leader(&self, group: &GroupName, now: BootInstant) -> Vec<Member> {
         let sees = |it: &Heartbeat, view: &GroupView| {
--- a/crates/gullspar_direct/src/groups/candidate_selection.rs
+++ b/crates/gullspar_direct/src/groups/candidate_selection.rs
@@ -3,16 +3,13 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use futures::future;
-use gullspar_border::within;
-use gullspar_model::LogPoint;
-use gullspar_statement::TargetCommand;
-
 use crate::Claim;
 use crate::groups::candidate::Candidate;
 use crate::groups::failover::{FailoverCause, FailoverCoordinator};
 use crate::groups::failover_timing::{CATCH_UP_TIMEOUT, POINT_QUERY_TIMEOUT};
+use crate::targets::received_point::{self, QueryResult};
 use crate::targets::target::Target;
+use futures::future;
 
 impl FailoverCoordinator {
     /// The member to promote: the one with the longest log; `None` if no member can be promoted yet.
@@ -71,21 +68,13 @@
     ///
     /// An earlier answer is not enough: the member may have followed other terms since.
     async fn query_candidate(&self, target: &Target) -> Option<Candidate> {
-        let spec = target.spec();
         let clock = &self.borders.clock;
         let deadline = clock.now() + POINT_QUERY_TIMEOUT;
-        let received = within(&**clock, deadline, received_point(target, deadline)).await;
-        let received = received.ok().flatten()?;
-        Some(Candidate { member: spec.member.clone(), point: received.max(target.point()) })
+        let received = match received_point::query(&**clock, &self.group, target, deadline).await {
+            QueryResult::Answered(point) => Some(point),
+            QueryResult::Refused => None,
+            QueryResult::Silent => return None,
+        };
+        Some(Candidate { member: target.member(), point: received.max(target.point()) })
     }
 }
-
-/// The end of the target's log, counting everything that it has received; `None` if the target can't be asked,
-/// and `Some(None)` if its answer has no point, for example when it is busy.
-async fn received_point(target: &Target, deadline: Instant) -> Option<Option<LogPoint>> {
-    // Uses an existing connection: a target at its connection limit refuses a new one.
-    let mut lease = target.pool.acquire_for_check(&target.spec(), true, deadline).await?.ok()?;
-    let answers = lease.connection()?.exchange(vec![TargetCommand::ReceivedPoint]).await.ok()?;
-    lease.return_to_pool();
-    Some(answers.first()?.point)
-}
--- a/crates/gullspar_direct/src/groups/claim_tracker.rs
+++ b/crates/gullspar_direct/src/groups/claim_tracker.rs
@@ -96,6 +96,11 @@
         self.newest.as_ref().is_some_and(|it| it.acted_at > at)
     }
 
+    /// The token of the newest claim.
+    pub fn token(&self) -> Option<FencingToken> {
+        self.newest.as_ref().map(|it| it.token)
+    }
+
     /// The holder of the newest claim.
     pub fn holder(&self) -> Option<&InstanceId> {
         self.newest.as_ref().map(|it| &it.holder)
--- a/crates/gullspar_direct/src/groups/failover.rs
+++ b/crates/gullspar_direct/src/groups/failover.rs
@@ -1,5 +1,6 @@
 //! Replaces the leader of a group when it has failed or is leaving.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -10,12 +11,13 @@
 use crate::groups::candidate::Candidate;
 use crate::groups::failover_timing::{
     CALM_CHECK_INTERVAL, CHECK_INTERVAL, LEADERLESS_TIMEOUT, MAX_ORDER_ATTEMPTS, PROMOTION_TIMEOUT,
-    RETRY_DELAY, TURN_DELAY,
+    RETRY_DELAY, TRANSFER_RETRY_DELAY, TRANSFER_STORE_RETRY_DELAY, TURN_DELAY,
+    VERDICT_LOG_INTERVAL,
 };
 use crate::groups::group::Group;
 use crate::{
-    Borders, Claim, ClaimError, FencingToken, PeerTable, Phase, PromoteError, Shutdown, Verdict,
-    VoteTally,
+    Borders, Claim, ClaimError, FencingToken, PeerTable, Phase, PromoteError, Shutdown,
+    TransferCause, TransferJudge, Verdict, VoteTally,
 };
 
 /// Why a group needs another leader.
@@ -29,6 +31,26 @@
     Dark,
     /// Members answer, and none of them leads.
     NoLeader,
+    /// The leader answers and serves its group badly.
+    Transfer(TransferCause),
+}
+
+impl FailoverCause {
+    /// The label of the cause in metrics.
+    fn label(self) -> &'static str {
+        match self {
+            FailoverCause::Gone => "gone",
+            FailoverCause::Leaves => "leaves",
+            FailoverCause::Dark => "dark",
+            FailoverCause::NoLeader => "no_leader",
+            FailoverCause::Transfer(TransferCause::Lagging) => "lagging",
+            FailoverCause::Transfer(TransferCause::Impaired) => "impaired",
+        }
+    }
+
+    fn is_transfer(self) -> bool {
+        matches!(self, FailoverCause::Transfer(_))
+    }
 }
 
 /// Monitors the leader of one group and promotes another member when it is needed.
@@ -40,6 +62,7 @@
     pub(crate) shutdown: Rc<Shutdown>,
     /// When the group has been observed for long enough to decide on a failover.
     pub(crate) settle_until: Instant,
+    pub(crate) judge: RefCell<TransferJudge>,
 }
 
 impl FailoverCoordinator {
@@ -47,10 +70,12 @@
     pub(crate) async fn run(self) {
         let clock = Rc::clone(&self.borders.clock);
         let mut pending: Option<(FailoverCause, Instant)> = None;
+        let mut next_verdict_log: Option<Instant> = None;
         loop {
             let changed = self.group.listen();
             // The check follows whether or not something changed.
-            let is_calm = self.group.responsive_leader().is_some_and(|it| !it.spec().leaving);
+            let is_calm = self.group.responsive_leader().is_some_and(|it| !it.spec().leaving)
+                && !self.has_leader_reports();
             let interval = if is_calm { CALM_CHECK_INTERVAL } else { CHECK_INTERVAL };
             let _ = within(&*clock, clock.now() + interval, changed).await;
             if self.group.is_ended() {
@@ -64,6 +89,10 @@
                 Some((known, began)) if known == cause => began,
                 _ => {
                     pending = Some((cause, clock.now()));
+                    if next_verdict_log.is_none_or(|it| clock.now() >= it) {
+                        next_verdict_log = Some(clock.now() + VERDICT_LOG_INTERVAL);
+                        self.log_transfer_verdict();
+                    }
                     clock.now()
                 }
             };
@@ -74,7 +103,7 @@
     }
 
     /// Why the group needs another leader now; `None` if it needs none.
-    fn failover_cause(&self) -> Option<FailoverCause> {
+    pub(crate) fn failover_cause(&self) -> Option<FailoverCause> {
         let now = self.borders.clock.now();
         let is_leaving = self.shutdown.phase() != Phase::Serving;
         // In a minority partition the views of the reachable instances are not those of the majority.
@@ -98,7 +127,7 @@
                 self.is_agreed(Some(&leader.member)).then_some(FailoverCause::Dark)
             }
             Some(target) if target.spec().leaving => Some(FailoverCause::Leaves),
-            Some(_) => None,
+            Some(_) => self.transfer_verdict().map(|it| FailoverCause::Transfer(it.cause)),
         }
     }
 
@@ -113,7 +142,7 @@
     }
 
     /// Whether no other instance is promoting a member of this group.
-    fn can_act(&self) -> bool {
+    pub(crate) fn can_act(&self) -> bool {
         let now = self.borders.clock.boot_now();
         // An instance that is leaving may still be completing a promotion.
         self.group.claims().can_act(&self.own, now, |it| self.peers.is_running(it, now))
@@ -137,11 +166,19 @@
         let clock = Rc::clone(&self.borders.clock);
         let current = match self.borders.claims.current(&self.group.name).await {
             Ok(current) => current,
-            Err(err) => return self.back_off("reading the claim", &err.to_string()).await,
+            Err(err) => {
+                return self.back_off(cause, "reading the claim", &err.to_string()).await;
+            }
         };
         let previous = current.as_ref().and_then(|it| it.claim.as_ref());
-        let Some(candidate) = self.select_candidate(cause, began, previous).await else {
-            clock.sleep_until(clock.now() + CHECK_INTERVAL).await;
+        let candidate = if cause.is_transfer() {
+            self.select_successor().await
+        } else {
+            self.select_candidate(cause, began, previous).await
+        };
+        let Some(candidate) = candidate else {
+            let delay = if cause.is_transfer() { TRANSFER_RETRY_DELAY } else { CHECK_INTERVAL };
+            clock.sleep_until(clock.now() + delay).await;
             return;
         };
         let over = current.as_ref().map(|it| it.token);
@@ -159,29 +196,44 @@
             over_term: self.group.newest_term(),
         };
         log::info!(group = self.group.name.as_str(), member = claim.member.as_str(), cause:? = cause, point:? = candidate.point, leader:? = self.group.newest_position_sample().map(|it| it.point); "G0715 a group needs another leader");
-        let Some(token) = self.obtain_claim(&claim, over).await else { return };
+        let Some(token) = self.obtain_claim(cause, &claim, over).await else { return };
+        if cause.is_transfer() && !self.prepare_transfer(cause, &candidate.member, token).await {
+            return;
+        }
         if self.failover_cause().is_none() {
             log::info!(group = self.group.name.as_str(); "G0716 no other leader is needed any more; no promotion is ordered");
             return;
         }
         let ordered = self.order_promotion(&claim, token).await;
-        self.record_act(token);
+        // While an act is recent, commits are confirmed only by all members. If the answer was late and the member leads
+        // already, that would hold back its commits.
+        if !self.group.is_leader(&claim.member) {
+            self.record_act(token);
+        }
+        let may_take_effect = matches!(ordered, Ok(()) | Err(PromoteError::NoAnswer(_)));
+        if cause.is_transfer() && may_take_effect {
+            self.group.record_transfer(clock.boot_now());
+        }
         match ordered {
             Ok(()) => {
                 self.borders.stats.promotion("ordered");
-                self.count_rolled_back(&candidate);
+                self.borders.stats.promotion_cause(cause.label());
+                if !cause.is_transfer() {
+                    self.count_rolled_back(&candidate);
+                }
                 log::info!(group = self.group.name.as_str(), member = claim.member.as_str(), token = token.0; "G0717 a promotion has been ordered");
                 self.wait_for_leader(&claim.member).await;
             }
             Err(PromoteError::NoAnswer(reason)) => {
                 self.borders.stats.promotion("unanswered");
+                self.borders.stats.promotion_cause(cause.label());
                 // The order may still be carried out. A repeated order has no further effect.
                 log::warn!(group = self.group.name.as_str(), token = token.0, reason = reason.as_str(); "G0718 the platform did not answer the order of a promotion");
                 self.wait_for_leader(&claim.member).await;
             }
             Err(err) => {
                 self.borders.stats.promotion("refused");
-                self.back_off("promoting", &err.to_string()).await;
+                self.back_off(cause, "promoting", &err.to_string()).await;
             }
         }
     }
@@ -212,8 +264,9 @@
 
     /// Records that this instance acts with `token`. Heartbeats report it to the others, which then wait for the
     /// lease to end.
-    fn record_act(&self, token: FencingToken) {
+    pub(crate) fn record_act(&self, token: FencingToken) {
         self.group.claims().record_act(token, self.own.clone(), self.borders.clock.boot_now());
+        self.group.notify();
     }
 
     /// Counts the commits beyond the end of the candidate's log, which the promotion may roll back.
@@ -232,6 +285,7 @@
     /// Obtains the claim and returns its token; `None` if another instance holds it or the store failed.
     async fn obtain_claim(
         &self,
+        cause: FailoverCause,
         claim: &Claim,
         over: Option<FencingToken>,
     ) -> Option<FencingToken> {
@@ -247,22 +301,23 @@
                 Ok(Some(found)) if found.claim.as_ref() == Some(claim) => Some(found.token),
                 Ok(_) => None,
                 Err(err) => {
-                    self.back_off("reading the claim back", &err.to_string()).await;
+                    self.back_off(cause, "reading the claim back", &err.to_string()).await;
                     None
                 }
             },
             Err(err) => {
-                self.back_off("claiming", &err.to_string()).await;
+                self.back_off(cause, "claiming", &err.to_string()).await;
                 None
             }
         }
     }
 
     /// Logs the failed step and waits before the next attempt.
-    async fn back_off(&self, what: &str, reason: &str) {
+    async fn back_off(&self, cause: FailoverCause, what: &str, reason: &str) {
         log::warn!(group = self.group.name.as_str(), what = what, reason = reason; "G0720 replacing a leader failed");
         let clock = &self.borders.clock;
-        clock.sleep_until(clock.now() + RETRY_DELAY).await;
+        let delay = if cause.is_transfer() { TRANSFER_STORE_RETRY_DELAY } else { RETRY_DELAY };
+        clock.sleep_until(clock.now() + delay).await;
     }
 
     /// Waits until `member` leads, or until the promotion timeout.
--- a/crates/gullspar_direct/src/groups/failover_timing.rs
+++ b/crates/gullspar_direct/src/groups/failover_timing.rs
@@ -37,3 +37,30 @@
 ///
 /// Leaving members keep serving for about seven seconds; the handover must be complete before that.
 pub(crate) const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(4500);
+
+/// Time from the claim of a transfer to its order, in which the other homes must learn of it and the candidate must show
+/// that it has received everything.
+///
+/// Homes hold commits back for [`PROMOTION_TIMEOUT`] after they learn of the claim. The promotion, which takes 600 ms,
+/// must take effect within that time even if they receive nothing more of this instance.
+pub(crate) const TRANSFER_PREPARATION_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Interval between checks of what the preparation of a transfer waits for.
+pub(crate) const TRANSFER_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Interval between two answered queries for what a replica has received. Each takes a slot there, and replicas receive
+/// commits after some 50 to 90 ms.
+pub(crate) const RECEIVED_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// How long the search for a candidate of a transfer may take. Covers refused queries, and the time that replicas need
+/// to receive what the leader had when the search began.
+pub(crate) const SUCCESSOR_QUERY_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Delay before a candidate of a transfer is searched for again.
+pub(crate) const TRANSFER_RETRY_DELAY: Duration = Duration::from_millis(300);
+
+/// Delay before a transfer is tried again after the store or the platform failed. The group is served meanwhile.
+pub(crate) const TRANSFER_STORE_RETRY_DELAY: Duration = Duration::from_secs(1);
+
+/// Minimum time between two log lines about a group whose leader role is worth transferring; the verdict may come and go.
+pub(crate) const VERDICT_LOG_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/gullspar_direct/src/groups/group.rs
+++ b/crates/gullspar_direct/src/groups/group.rs
@@ -7,11 +7,28 @@
 
 use event_listener::{Event, EventListener};
 use gullspar_border::BootInstant;
-use gullspar_model::{GroupName, LogPoint, MemberName, Term};
+use gullspar_model::{GroupName, InstanceId, LogPoint, MemberName, Term};
 
+use crate::groups::acknowledged_commits::AcknowledgedCommits;
 use crate::groups::failover_timing;
+use crate::groups::leader_load::{LeaderLoad, RequestEnd};
+use crate::groups::received_reports::ReceivedReports;
+use crate::groups::usual_durations::{StatementKind, UsualDurations};
 use crate::targets::target::Target;
-use crate::{ClaimTracker, GroupView, LeaderHealth, PositionSample, PositionSamples};
+use crate::{ClaimTracker, GroupView, LeaderHealth, LeaderReport, PositionSample, PositionSamples};
+
+/// A replica lags if it lacks what the leader had this long ago.
+///
+/// Replicas usually lag by less than half a second, their positions are known with a delay of 0.1 to 0.4 s, and reads
+/// from replicas need data that is at least 1.5 s old.
+const LAG_LIMIT: Duration = Duration::from_secs(1);
+
+/// How long a transfer is reported even if there is nothing else to report; covers several lost reports.
+const TRANSFER_REPORT_PERIOD: Duration = Duration::from_secs(2);
+
+/// A report that makes the last transfer younger by less than this is about the same transfer. The time that reports are in
+/// transit makes it look younger each time it is passed on.
+const SAME_TRANSFER_PERIOD: Duration = Duration::from_secs(5);
 
 /// The leader of a group, as the member itself reported it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -30,9 +47,22 @@
     leaderless_since: Cell<Instant>,
     /// When the request was sent to which the current leader first answered that it leads.
     led_since: Cell<Option<BootInstant>>,
+    /// When another leader than the one seen before was first seen.
+    replaced_at: Cell<Option<BootInstant>>,
+    /// The last leader seen.
+    last_leader: RefCell<Option<MemberName>>,
     /// Since when this instance has had no responsive leader, as of the last refresh.
     leader_unavailable_since: Cell<Option<Instant>>,
     position_samples: RefCell<PositionSamples>,
+    /// Counts the changes of the leader that this instance has seen.
+    leadership: Cell<u64>,
+    usual_durations: RefCell<UsualDurations>,
+    /// What callers of this instance lose at the current leader.
+    leader_load: RefCell<LeaderLoad>,
+    leader_reports: RefCell<ReceivedReports>,
+    /// When the last transfer known was ordered.
+    transferred_at: Cell<Option<BootInstant>>,
+    acknowledged: RefCell<AcknowledgedCommits>,
     claims: RefCell<ClaimTracker>,
     /// How long a replica typically needs to receive a commit, in microseconds.
     typical_lag_us: Cell<u64>,
@@ -59,8 +89,16 @@
             newest_term: Cell::new(Term(0)),
             leaderless_since: Cell::new(now),
             led_since: Cell::new(None),
+            replaced_at: Cell::new(None),
+            last_leader: RefCell::default(),
             leader_unavailable_since: Cell::new(None),
             position_samples: RefCell::default(),
+            leadership: Cell::new(0),
+            usual_durations: RefCell::default(),
+            leader_load: RefCell::default(),
+            leader_reports: RefCell::default(),
+            transferred_at: Cell::new(None),
+            acknowledged: RefCell::default(),
             claims: RefCell::new(ClaimTracker::new(lease)),
             typical_lag_us: Cell::new(0),
             lagging_until: Cell::new(None),
@@ -194,34 +232,65 @@
     }
 
     /// Records that `member`, asked at `requested_at`, answered as the leader with the end of its log at `point`.
+    /// Returns the number of commits acknowledged here that it lacks.
     pub(crate) fn record_leader(
         &self,
         member: &MemberName,
         point: LogPoint,
         requested_at: BootInstant,
-    ) {
+    ) -> usize {
         if point.term < self.newest_term.get() {
             // A late answer from a leader that has been superseded.
-            return;
+            return 0;
         }
         self.newest_term.set(point.term);
         self.position_samples.borrow_mut().add(PositionSample { requested_at, point });
         let is_unchanged = self.leader.borrow().as_ref().is_some_and(|it| it.member == *member);
-        if !is_unchanged {
-            log::info!(group = self.name.as_str(), member = member.as_str(), term = point.term.0; "G0706 a group has a new leader");
-            *self.leader.borrow_mut() = Some(Leader { member: member.clone(), term: point.term });
-            self.led_since.set(Some(requested_at));
-            self.notify();
+        if is_unchanged {
+            return 0;
+        }
+        log::info!(group = self.name.as_str(), member = member.as_str(), term = point.term.0; "G0706 a group has a new leader");
+        let former = self.leader.replace(Some(Leader { member: member.clone(), term: point.term }));
+        self.led_since.set(Some(requested_at));
+        let last = self.last_leader.replace(Some(member.clone()));
+        if last.is_some_and(|it| it != *member) {
+            self.replaced_at.set(Some(requested_at));
+        }
+        self.end_leadership(former.as_ref(), requested_at);
+        self.notify();
+        let undone = self.acknowledged.borrow_mut().take_undone(point);
+        if undone > 0 {
+            log::warn!(group = self.name.as_str(), commits = undone, term = point.term.0, position = point.position.0; "G0793 a new leader lacks commits that this instance acknowledged");
+        }
+        undone
+    }
+
+    /// Forgets what is only true while the same member leads.
+    fn end_leadership(&self, former: Option<&Leader>, now: BootInstant) {
+        self.leadership.set(self.leadership.get() + 1);
+        self.targets.borrow().values().for_each(|it| it.forget_received());
+        let load = self.leader_load.replace(LeaderLoad::default());
+        // A former leader that was overloaded is not slow as a replica, and serves reads at once.
+        if let Some(target) = former.and_then(|it| self.target(&it.member))
+            && !load.is_impaired(now)
+        {
+            target.forget_durations();
         }
     }
 
     /// Records that `member` answered that it does not lead.
-    pub(crate) fn record_not_leader(&self, member: &MemberName, now: Instant) {
+    pub(crate) fn record_not_leader(
+        &self,
+        member: &MemberName,
+        now: Instant,
+        boot_now: BootInstant,
+    ) {
         if !self.is_leader(member) {
             return;
         }
         log::info!(group = self.name.as_str(), member = member.as_str(); "G0707 a group's leader no longer leads");
-        *self.leader.borrow_mut() = None;
+        let former = self.leader.take();
+        self.end_leadership(former.as_ref(), boot_now);
         self.leaderless_since.set(now);
         self.notify();
     }
@@ -248,6 +317,137 @@
         self.position_samples.borrow().newest()
     }
 
+    /// A number that changes whenever this instance sees the leader change.
+    pub(crate) fn leadership(&self) -> u64 {
+        self.leadership.get()
+    }
+
+    /// How long the current leader has led, as seen by this instance.
+    pub(crate) fn led_for(&self, now: BootInstant) -> Duration {
+        self.led_since.get().map_or(Duration::ZERO, |it| now.since(it))
+    }
+
+    /// Records that a commit was acknowledged.
+    pub(crate) fn record_acknowledged(&self, point: LogPoint) {
+        self.acknowledged.borrow_mut().record(point);
+    }
+
+    /// Records a request whose last attempt was on `member`. It is displaced if replicas could have served it.
+    pub(crate) fn record_request(
+        &self,
+        member: &MemberName,
+        end: RequestEnd,
+        is_displaced: bool,
+        now: BootInstant,
+    ) {
+        if self.is_leader(member) {
+            self.leader_load.borrow_mut().record_request(end, is_displaced, now);
+        }
+    }
+
+    /// Records a statement that `member` answered after `took`.
+    pub(crate) fn record_run(
+        &self,
+        member: &MemberName,
+        kind: StatementKind,
+        took: Duration,
+        now: BootInstant,
+    ) {
+        let ratio = self.usual_durations.borrow_mut().record(kind, took);
+        let on_leader = self.is_leader(member);
+        self.leader_load.borrow_mut().runs_mut(on_leader).record_answer(ratio, now);
+    }
+
+    /// Records a statement that `member` refused as congested, or failed or did not answer.
+    pub(crate) fn record_failed_run(
+        &self,
+        member: &MemberName,
+        is_refused: bool,
+        now: BootInstant,
+    ) {
+        let on_leader = self.is_leader(member);
+        self.leader_load.borrow_mut().runs_mut(on_leader).record_failure(is_refused, now);
+    }
+
+    /// What this instance reports about the current leader; `None` if there is nothing to report.
+    pub(crate) fn leader_report(&self, now: BootInstant) -> Option<LeaderReport> {
+        let leader = self.leader()?.member;
+        let load = *self.leader_load.borrow();
+        let transferred_ago = self.transferred_ago(now);
+        let (is_lagging, is_impaired) = (self.are_replicas_lagging(now), load.is_impaired(now));
+        let is_transferred = transferred_ago.is_some_and(|it| it < TRANSFER_REPORT_PERIOD);
+        (is_lagging || is_impaired || is_transferred).then(|| LeaderReport {
+            group: self.name.clone(),
+            leader,
+            is_lagging,
+            is_impaired,
+            requests_per_s: load.requests_per_s(now).round() as u32,
+            lost_per_s: load.lost_per_s(now).round() as u32,
+            displaced_per_s: load.displaced_per_s(now).round() as u32,
+            transferred_ms_ago: transferred_ago
+                .map(|it| u32::try_from(it.as_millis()).unwrap_or(u32::MAX)),
+        })
+    }
+
+    /// The report that ends this instance's last one, if that is still valid and reported trouble that has ended.
+    pub(crate) fn retraction(&self, own: &InstanceId, now: BootInstant) -> Option<LeaderReport> {
+        let reports = self.leader_reports.borrow();
+        let (_, last) = reports.valid(now).find(|(from, _)| *from == own)?;
+        let had_trouble = last.is_lagging || last.is_impaired;
+        had_trouble.then(|| LeaderReport { is_lagging: false, is_impaired: false, ..last.clone() })
+    }
+
+    /// Whether a replica lacks what the leader had [`LAG_LIMIT`] ago.
+    pub(crate) fn is_lagging(&self, target: &Target, now: BootInstant) -> bool {
+        let sample = self.position_samples.borrow().newest_before(now.minus(LAG_LIMIT));
+        let lacks = |it: PositionSample| target.point() < Some(it.point);
+        sample.is_some_and(lacks) && !self.is_leader(&target.member())
+    }
+
+    /// Whether each replica that answers lacks what the leader had [`LAG_LIMIT`] ago.
+    fn are_replicas_lagging(&self, now: BootInstant) -> bool {
+        let targets = self.targets.borrow();
+        let is_usable = |it: &&Rc<Target>| {
+            !self.is_leader(&it.member())
+                && !it.spec().leaving
+                && !it.is_unresponsive()
+                && it.has_responded()
+        };
+        let mut replicas = targets.values().filter(is_usable).peekable();
+        replicas.peek().is_some() && replicas.all(|it| self.is_lagging(it, now))
+    }
+
+    /// Records a report about the leader, of this or another instance.
+    pub(crate) fn record_report(&self, from: InstanceId, report: LeaderReport, now: BootInstant) {
+        if let Some(ms) = report.transferred_ms_ago {
+            let at = now.minus(Duration::from_millis(u64::from(ms)));
+            if self.transferred_at.get().is_none_or(|it| at > it.plus(SAME_TRANSFER_PERIOD)) {
+                self.transferred_at.set(Some(at));
+            }
+        }
+        if self.leader_reports.borrow_mut().record(from, report, now) {
+            self.notify();
+        }
+    }
+
+    /// The valid reports about the current leader, each with its sender.
+    pub(crate) fn leader_reports(&self, now: BootInstant) -> Vec<(InstanceId, LeaderReport)> {
+        let reports = self.leader_reports.borrow();
+        let current = reports.valid(now).filter(|(_, it)| self.is_leader(&it.leader));
+        current.map(|(from, it)| (from.clone(), it.clone())).collect()
+    }
+
+    /// Records that this instance ordered a transfer, and wakes the task that reports it.
+    pub(crate) fn record_transfer(&self, now: BootInstant) {
+        self.transferred_at.set(Some(now));
+        self.notify();
+    }
+
+    /// How long ago the last transfer known was ordered.
+    pub(crate) fn transferred_ago(&self, now: BootInstant) -> Option<Duration> {
+        Some(now.since(self.transferred_at.get()?))
+    }
+
     /// The claims known for the group.
     pub(crate) fn claims(&self) -> RefMut<'_, ClaimTracker> {
         self.claims.borrow_mut()
@@ -261,6 +461,14 @@
         self.claims.borrow().has_act_after(since)
     }
 
+    /// Like [`Group::is_being_replaced`], but a leader that is the first one that this instance sees may be the one that
+    /// is being replaced.
+    pub(crate) fn may_be_replaced(&self, now: BootInstant) -> bool {
+        let earliest = now.minus(failover_timing::PROMOTION_TIMEOUT);
+        let since = self.replaced_at.get().map_or(earliest, |it| it.max(earliest));
+        self.claims.borrow().has_act_after(since)
+    }
+
     /// The view of this group to send to other instances.
     pub(crate) fn view(
         &self,
--- a/crates/gullspar_direct/src/reading/position_samples.rs
+++ b/crates/gullspar_direct/src/reading/position_samples.rs
@@ -54,6 +54,11 @@
         self.samples.iter().find(|it| it.requested_at >= limit).copied()
     }
 
+    /// The newest sample requested at or before `at`.
+    pub fn newest_before(&self, at: BootInstant) -> Option<PositionSample> {
+        self.samples.iter().rfind(|it| it.requested_at <= at).copied()
+    }
+
     /// The newest sample.
     pub fn newest(&self) -> Option<PositionSample> {
         self.samples.back().copied()
--- a/crates/gullspar_direct/src/reading/read_path.rs
+++ b/crates/gullspar_direct/src/reading/read_path.rs
@@ -194,6 +194,7 @@
             own_data_centre: &self.own.data_centre,
             customer: req.customer.as_ref(),
             now: self.borders.clock.now(),
+            boot_now: self.borders.clock.boot_now(),
         };
         let target = target_selection::select(group, &criteria)?;
         let required = if group.is_leader(&target.member()) { None } else { required };
--- a/crates/gullspar_direct/src/reading/target_selection.rs
+++ b/crates/gullspar_direct/src/reading/target_selection.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use gullspar_border::BootInstant;
 use gullspar_model::{CustomerName, DataCentre, LogPoint, MemberName};
 
 use crate::groups::group::Group;
@@ -20,6 +21,10 @@
 /// Cost added to a replica that is not known to have reached the required point; it may refuse the read.
 const UNCERTAIN_COST: Duration = Duration::from_millis(3);
 
+/// Cost added to a replica that has caught up, if a replica that lags can serve the read as well. Reads that need less
+/// then leave room on the replica that alone can serve the others.
+const CAUGHT_UP_COST: Duration = Duration::from_millis(3);
+
 /// Assumed mean statement time until a target of the group has answered a statement.
 const INITIAL_MEAN_ESTIMATE: Duration = Duration::from_millis(20);
 
@@ -34,12 +39,17 @@
     /// The customer of the read.
     pub(crate) customer: Option<&'a CustomerName>,
     pub(crate) now: Instant,
+    pub(crate) boot_now: BootInstant,
 }
 
 /// Returns the cheapest target that can serve a read now. Avoided targets are used only if there is no other.
 pub(crate) fn select(group: &Group, criteria: &ReadCriteria<'_>) -> Option<Rc<Target>> {
     let targets = group.targets();
     let usual = group.fastest_mean().unwrap_or(INITIAL_MEAN_ESTIMATE);
+    let is_lagging = |it: &Target| group.is_lagging(it, criteria.boot_now);
+    let prefers_lagging = targets
+        .iter()
+        .any(|it| !it.is_unresponsive() && is_lagging(it) && has_reached(it, criteria));
     let cheapest = |include_avoided: bool| {
         targets
             .iter()
@@ -47,7 +57,11 @@
             .filter(|it| !criteria.tried.contains(&it.member()))
             .filter(|it| include_avoided || !it.is_avoided(criteria.now))
             .filter(|it| can_serve(group, it, criteria))
-            .min_by_key(|it| cost(group, it, criteria, usual))
+            .min_by_key(|it| {
+                let is_caught_up = prefers_lagging && !is_lagging(it);
+                let extra = if is_caught_up { CAUGHT_UP_COST } else { Duration::ZERO };
+                cost(group, it, criteria, usual) + extra
+            })
             .cloned()
     };
     cheapest(false).or_else(|| cheapest(true))
@@ -72,6 +86,9 @@
     if group.is_leader(&spec.member) {
         return cost * LEADER_COST_FACTOR;
     }
-    let has_reached = target.point().is_some_and(|it| Some(it) >= criteria.at_least);
-    if has_reached { cost } else { cost + UNCERTAIN_COST }
+    if has_reached(target, criteria) { cost } else { cost + UNCERTAIN_COST }
+}
+
+fn has_reached(target: &Target, criteria: &ReadCriteria<'_>) -> bool {
+    target.point().is_some_and(|it| Some(it) >= criteria.at_least)
 }
--- a/crates/gullspar_direct/src/session/statement_execution.rs
+++ b/crates/gullspar_direct/src/session/statement_execution.rs
@@ -8,14 +8,15 @@
     Action, Answer, Definition, Failure, FailureCode, Statement, TransactionStatus,
 };
 
-use crate::Route;
 use crate::groups::group::Group;
+use crate::groups::leader_load::RequestEnd;
 use crate::session::caller_session::{Session, no_such_service};
 use crate::session::refusal;
 use crate::session::request::{Body, Request};
 use crate::session::trace::{self, Trace};
 use crate::writing::confirmation::{Commit, CommitStatus};
 use crate::writing::transaction::Transaction;
+use crate::{Freshness, Route};
 
 /// A read is sent to a second target after the service's latency objective divided by this number.
 const HEDGE_DELAY_DIVISOR: u64 = 2;
@@ -58,6 +59,7 @@
         if let Some(access) = self.target_access.take() {
             let result = answer.result.as_ref().map(|_| ());
             self.proxy.borders.stats.statement(access, &self.trace, result, took);
+            self.record_request(access, &answer, took);
         }
         match &answer.result {
             Ok(Some(_)) => {
@@ -71,6 +73,31 @@
         answer
     }
 
+    /// Counts a statement whose last attempt was on the leader in the leader's load.
+    fn record_request(&self, access: Access, answer: &Answer, took: Duration) {
+        let Some(member) = self.trace.member.as_ref().filter(|_| self.trace.on_leader) else {
+            return;
+        };
+        let Some(route) = self.proxy.directory.route(&self.opening.service) else { return };
+        let Some(group) = self.proxy.group(&route.group) else { return };
+        let end = match &answer.result {
+            Ok(_) if took > Duration::from_millis(route.objective_ms) => RequestEnd::Late,
+            Ok(_) => RequestEnd::InTime,
+            Err(failure) => match failure.code {
+                FailureCode::Congested
+                | FailureCode::RolledBack
+                | FailureCode::TimedOut
+                | FailureCode::Unknown
+                | FailureCode::Failed => RequestEnd::Lost,
+                _ => return,
+            },
+        };
+        let may_use_replica = self.transaction.as_ref().is_none_or(Transaction::is_read_only);
+        let is_displaced =
+            access == Access::Read && route.freshness != Freshness::Latest && may_use_replica;
+        group.record_request(member, end, is_displaced, self.proxy.borders.clock.boot_now());
+    }
+
     async fn execute(&mut self, statement: Statement) -> Answer {
         let has_failed = self.status() == TransactionStatus::Failed;
         match &statement.action {
@@ -206,6 +233,8 @@
     }
 
     fn over_limit(&mut self, reason: NotRun) -> Answer {
+        // No target was tried; the trace is that of an earlier statement.
+        self.trace = Trace::default();
         let failure = refusal::not_run(reason);
         match &mut self.transaction {
             Some(transaction) => transaction.fail(failure),
--- a/crates/gullspar_direct/src/stats.rs
+++ b/crates/gullspar_direct/src/stats.rs
@@ -21,8 +21,11 @@
     permit_wait_seconds: Histogram<f64>,
     transactions_lost: Counter<u64>,
     promotions: Counter<u64>,
+    promotion_causes: Counter<u64>,
+    transfers_given_up: Counter<u64>,
     unresponsive_targets: Counter<u64>,
     rolled_back_points: Counter<u64>,
+    rolled_back_acknowledged: Counter<u64>,
     acknowledged_alone: Counter<u64>,
     keys_refused: Counter<u64>,
     limited: Counter<u64>,
@@ -78,6 +81,14 @@
                 "Transactions whose connection was lost.",
             ),
             promotions: counter("gullspar_promotions", "Promotions ordered, by result."),
+            promotion_causes: counter(
+                "gullspar_promotion_causes",
+                "Promotions that the platform accepted or did not answer, by cause.",
+            ),
+            transfers_given_up: counter(
+                "gullspar_transfers_given_up",
+                "Transfers of a leader role that were called for and not ordered, by reason.",
+            ),
             unresponsive_targets: counter(
                 "gullspar_targets_dark",
                 "Times that a target became unresponsive.",
@@ -87,6 +98,10 @@
                 "Commits that a failover may have undone: those between the end of the new leader's \
                  log and the newest position sample of the old leader.",
             ),
+            rolled_back_acknowledged: counter(
+                "gullspar_rolled_back_acknowledged_commits",
+                "Commits acknowledged by this instance that the next leader is known to lack.",
+            ),
             acknowledged_alone: counter(
                 "gullspar_acknowledged_alone",
                 "Commits acknowledged without confirmation that a replica has them.",
@@ -150,6 +165,15 @@
         self.promotions.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Counts a promotion that may take effect.
+    pub(crate) fn promotion_cause(&self, cause: &'static str) {
+        self.promotion_causes.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
+    pub(crate) fn transfer_given_up(&self, reason: &'static str) {
+        self.transfers_given_up.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     pub(crate) fn target_unresponsive(&self) {
         self.unresponsive_targets.add(1, &[]);
     }
@@ -158,6 +182,10 @@
         self.rolled_back_points.add(commits, &[]);
     }
 
+    pub(crate) fn rolled_back_acknowledged(&self, commits: u64) {
+        self.rolled_back_acknowledged.add(commits, &[]);
+    }
+
     pub(crate) fn acknowledged_alone(&self) {
         self.acknowledged_alone.add(1, &[]);
     }
--- a/crates/gullspar_direct/src/targets/attempt.rs
+++ b/crates/gullspar_direct/src/targets/attempt.rs
@@ -10,6 +10,7 @@
 
 use crate::Borders;
 use crate::groups::group::Group;
+use crate::groups::usual_durations::StatementKind;
 use crate::session::request::Request;
 use crate::targets::connection_pool::Lease;
 use crate::targets::target::Target;
@@ -179,9 +180,11 @@
             Ok(Err(err)) => {
                 log::info!(request = req.id.as_str(), member = self.target.member().as_str(), reason = err.to_string().as_str(); "G0710 the connection to a target broke during a statement");
                 self.group.request_check();
+                self.group.record_failed_run(&self.target.member(), false, clock.boot_now());
                 return Err(AttemptOutcome::Lost);
             }
             Err(_) => {
+                self.group.record_failed_run(&self.target.member(), false, clock.boot_now());
                 log::info!(request = req.id.as_str(), member = self.target.member().as_str(); "G0711 a target did not answer a statement in time");
                 return Err(AttemptOutcome::Silent);
             }
@@ -193,8 +196,15 @@
         if failed || answer.result.is_ok() {
             self.target.record_result(failed, clock.now());
         }
+        let is_refused = answer.result.as_ref().is_err_and(|it| it.code == FailureCode::Congested);
+        if failed || is_refused {
+            self.group.record_failed_run(&self.target.member(), is_refused, clock.boot_now());
+        }
         if answer.result.is_ok() {
-            self.target.record_duration(clock.now().saturating_duration_since(started));
+            let took = clock.now().saturating_duration_since(started);
+            self.target.record_duration(took);
+            let kind = StatementKind::new(req.access, req.commits, req.priority);
+            self.group.record_run(&self.target.member(), kind, took, clock.boot_now());
         }
         if let (Some(point), Err(failure)) = (at_least, &answer.result)
             && failure.code == FailureCode::Behind
@@ -224,7 +234,8 @@
     ///
     /// Also records what the code says about the target: to be avoided, or not the leader.
     fn not_run_reason(&self, code: &FailureCode) -> Option<NotRun> {
-        let now = self.borders.clock.now();
+        let clock = &self.borders.clock;
+        let now = clock.now();
         match code {
             FailureCode::Congested | FailureCode::TooManyConnections => {
                 self.target.avoid(now);
@@ -232,7 +243,7 @@
             }
             FailureCode::Behind => Some(NotRun::Behind),
             FailureCode::ReadOnly => {
-                self.group.record_not_leader(&self.target.member(), now);
+                self.group.record_not_leader(&self.target.member(), now, clock.boot_now());
                 self.group.request_check();
                 Some(NotRun::NotPrimary)
             }
--- a/crates/gullspar_direct/src/targets/mod.rs
+++ b/crates/gullspar_direct/src/targets/mod.rs
@@ -7,5 +7,6 @@
 pub(crate) mod idle_connections;
 pub(crate) mod pacing;
 pub(crate) mod pooled_connection;
+pub(crate) mod received_point;
 pub(crate) mod target;
 pub(crate) mod target_watch;
--- a/crates/gullspar_direct/src/targets/target.rs
+++ b/crates/gullspar_direct/src/targets/target.rs
@@ -35,9 +35,16 @@
 /// is used again within seconds.
 const MAX_FAILURE_SCORE: u32 = AVOID_SCORE + 4 * FAILURE_WEIGHT;
 
-/// How long a replica that was behind a point is not selected again for that point.
+/// How long a replica that was behind a point is not selected again for that point, unless a check shows that it has
+/// reached the point. Doubles with each further refusal up to [`MAX_BEHIND_PERIOD`].
 const BEHIND_PERIOD: Duration = Duration::from_millis(60);
 
+/// Upper limit of [`BEHIND_PERIOD`]. A replica that lags for seconds would otherwise refuse 16 reads per second.
+const MAX_BEHIND_PERIOD: Duration = Duration::from_millis(240);
+
+/// Time between two refusals from which the second counts as a first one.
+const BEHIND_MEMORY: Duration = Duration::from_secs(1);
+
 /// Each new sample has a weight of one divided by this number in the running mean.
 const MEAN_DIVISOR: u64 = 8;
 
@@ -54,6 +61,8 @@
     pub(crate) pool: Rc<ConnectionPool>,
     pub(crate) admission: Rc<Admission>,
     point: Cell<Option<LogPoint>>,
+    /// The end of the log that the target has received from the current leader, as far as known.
+    received: Cell<Option<LogPoint>>,
     missed_checks: Cell<u32>,
     last_response_at: Cell<Option<BootInstant>>,
     last_check_at: Cell<Option<BootInstant>>,
@@ -65,7 +74,7 @@
     avoid_until: Cell<Option<Instant>>,
     /// Failure score: rises with each failed statement and falls with each successful one.
     failure_score: Cell<u32>,
-    behind: Cell<Option<(LogPoint, Instant)>>,
+    behind: Cell<Option<Behind>>,
     /// When the target stops getting new work; `None` if it isn't leaving.
     work_ends_at: Cell<Option<BootInstant>>,
     pub(crate) removed: Cell<bool>,
@@ -75,6 +84,14 @@
     stats: Rc<Stats>,
 }
 
+/// A replica's last refusal because its log was behind.
+#[derive(Clone, Copy)]
+struct Behind {
+    point: LogPoint,
+    recorded_at: Instant,
+    period: Duration,
+}
+
 /// Counts a statement as in flight until it is dropped.
 pub(crate) struct InFlight {
     target: Rc<Target>,
@@ -89,6 +106,7 @@
             pool,
             admission,
             point: Cell::new(None),
+            received: Cell::new(None),
             missed_checks: Cell::new(0),
             last_response_at: Cell::new(None),
             last_check_at: Cell::new(None),
@@ -156,6 +174,27 @@
         }
     }
 
+    /// Whether the target is known to have the commit at `point`, applied or only received.
+    pub(crate) fn has_commit(&self, point: LogPoint) -> bool {
+        let has = |end: LogPoint| end.term == point.term && end.position >= point.position;
+        [self.point.get(), self.received.get()].into_iter().flatten().any(has)
+    }
+
+    /// Records the end of the log that the target has received; it never shrinks while the same member leads.
+    pub(crate) fn record_received(&self, point: LogPoint) {
+        self.received.set(self.received.get().max(Some(point)));
+    }
+
+    /// Forgets what the target has received, since members drop what a new leader lacks.
+    pub(crate) fn forget_received(&self) {
+        self.received.set(None);
+    }
+
+    /// Forgets how long statements took, since the target's work has changed.
+    pub(crate) fn forget_durations(&self) {
+        self.mean_us.set(None);
+    }
+
     /// Records that the target answered a check or a statement.
     pub(crate) fn record_response(&self, now: BootInstant) {
         self.missed_checks.set(0);
@@ -230,11 +269,15 @@
 
     /// Records that the replica reported its log to be behind `point`.
     pub(crate) fn record_behind(&self, point: LogPoint, now: Instant) {
-        self.behind.set(Some((point, now + BEHIND_PERIOD)));
+        let last = self.behind.get().filter(|it| now < it.recorded_at + BEHIND_MEMORY);
+        let period = last.map_or(BEHIND_PERIOD, |it| (it.period * 2).min(MAX_BEHIND_PERIOD));
+        self.behind.set(Some(Behind { point, recorded_at: now, period }));
     }
 
     pub(crate) fn is_behind(&self, point: LogPoint, now: Instant) -> bool {
-        self.behind.get().is_some_and(|(missing, until)| point >= missing && now < until)
+        let has_reached = self.point.get().is_some_and(|it| it >= point);
+        let is_recent = |it: Behind| point >= it.point && now < it.recorded_at + it.period;
+        !has_reached && self.behind.get().is_some_and(is_recent)
     }
 
     /// Releases a permit after a statement that took `taken`: at once, or after a cooldown while the target is
--- a/crates/gullspar_direct/src/targets/target_watch.rs
+++ b/crates/gullspar_direct/src/targets/target_watch.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use gullspar_border::within;
+use gullspar_border::{BootInstant, within};
 use gullspar_model::NotRun;
 use gullspar_statement::{FailureCode, TargetCommand, TransactionStatus};
 
@@ -17,6 +17,9 @@
 /// Interval between checks of a replica.
 const REPLICA_CHECK_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Interval between checks of a replica that lags. Reads are sent to it again once a check shows that it has caught up.
+const LAGGING_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Interval between checks while the group has no responsive leader or the target missed its last check.
 const FAILING_CHECK_INTERVAL: Duration = Duration::from_millis(40);
 
@@ -74,19 +77,27 @@
         }
         target.pool.close_surplus();
         let woken = group.listen_check_request();
-        let until = borders.clock.now() + check_interval(&group, &target, &check);
+        let until =
+            borders.clock.now() + check_interval(&group, &target, &check, borders.clock.boot_now());
         // Runs the next check after the interval, or when the group requests one.
         let _ = within(&*borders.clock, until, woken).await;
     }
 }
 
-fn check_interval(group: &Group, target: &Target, check: &CheckResult) -> Duration {
+fn check_interval(
+    group: &Group,
+    target: &Target,
+    check: &CheckResult,
+    now: BootInstant,
+) -> Duration {
     if matches!(check, CheckResult::Full) {
         FULL_CHECK_DELAY
     } else if group.responsive_leader().is_none() || target.has_missed_checks() {
         FAILING_CHECK_INTERVAL
     } else if group.is_leader(&target.member()) {
         LEADER_CHECK_INTERVAL
+    } else if group.is_lagging(target, now) {
+        LAGGING_CHECK_INTERVAL
     } else {
         REPLICA_CHECK_INTERVAL
     }
@@ -138,9 +149,12 @@
     target.record_point(first.point);
     target.record_answered_check(clock.boot_now());
     match (&first.result, first.point) {
-        (Ok(_), Some(point)) => group.record_leader(&spec.member, point, requested_at),
+        (Ok(_), Some(point)) => {
+            let undone = group.record_leader(&spec.member, point, requested_at);
+            borders.stats.rolled_back_acknowledged(undone as u64);
+        }
         (Err(failure), _) if failure.code == FailureCode::ReadOnly => {
-            group.record_not_leader(&spec.member, clock.now());
+            group.record_not_leader(&spec.member, clock.now(), clock.boot_now());
         }
         _ => {}
     }
--- a/crates/gullspar_direct/src/writing/confirmation.rs
+++ b/crates/gullspar_direct/src/writing/confirmation.rs
@@ -11,6 +11,7 @@
 use gullspar_model::{LogPoint, MemberName};
 
 use crate::groups::group::Group;
+use crate::targets::received_point;
 use crate::targets::target::Target;
 use crate::targets::target_watch;
 use crate::{Borders, Proxy};
@@ -30,6 +31,12 @@
 /// far behind are not polled too often.
 const FIRST_POLL_DELAY: Duration = Duration::from_millis(5);
 
+/// Maximum delay between two polls while commits are held back because the leader is being replaced.
+const MAX_HELD_POLL_DELAY: Duration = Duration::from_millis(50);
+
+/// How long one query for a received position may take while commits are held back.
+const RECEIVED_QUERY_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Interval between checks of whether a commit that only its leader has may be acknowledged.
 const LEADER_ONLY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -75,8 +82,9 @@
         let mut poll_delay = FIRST_POLL_DELAY;
         loop {
             let progress = group.listen_progress();
-            if let Some(status) = commit_status(group, commit) {
+            if let Some(status) = commit_status(group, commit, clock.boot_now()) {
                 if status == CommitStatus::Replicated {
+                    group.record_acknowledged(point);
                     group.update_typical_lag(clock.now().saturating_duration_since(started));
                 }
                 return status;
@@ -100,6 +108,9 @@
                 poll_replicas(&self.borders, group, point);
                 poll_at = now + poll_delay;
                 poll_delay *= 2;
+                if group.is_being_replaced(clock.boot_now()) {
+                    poll_delay = poll_delay.min(MAX_HELD_POLL_DELAY);
+                }
             }
             // The loop checks again whether or not a replica made progress.
             let _ = within(&**clock, poll_at.min(leader_only_at), progress).await;
@@ -115,6 +126,7 @@
     fn record_leader_only(&self, group: &Group, point: LogPoint, wait: Duration) {
         log::info!(group = group.name.as_str(), term = point.term.0, position = point.position.0; "G0745 a commit is acknowledged although only the leader has it");
         self.borders.stats.acknowledged_alone();
+        group.record_acknowledged(point);
         if wait == CONFIRM_TIMEOUT {
             group.record_lagging_until(self.borders.clock.now() + LAGGING_TTL);
         }
@@ -140,7 +152,7 @@
         } else {
             started
         };
-        !group.is_being_replaced(now)
+        !group.may_be_replaced(now)
             && self.peers.views.is_leader_confirmed(&group.name, &leader.member, views_since, now)
     }
 
@@ -157,7 +169,7 @@
 }
 
 /// The status of the commit as known now; `None` while it is undecided.
-fn commit_status(group: &Group, commit: &Commit) -> Option<CommitStatus> {
+fn commit_status(group: &Group, commit: &Commit, now: BootInstant) -> Option<CommitStatus> {
     let point = commit.point;
     if group.newest_term() > point.term {
         return Some(CommitStatus::Superseded);
@@ -165,12 +177,14 @@
     if !group.is_leader(&commit.leader) {
         return status_with_successor(group, point);
     }
-    let replicas = successor_candidates(group);
-    let mut received = replicas.iter().map(|it| has_commit(it, point));
-    // Any of the replicas may replace a leaving leader, so all of them need the commit.
-    let is_replicated = match group.is_leader_leaving() {
-        true => !replicas.is_empty() && received.all(|it| it),
-        false => received.any(|it| it),
+    // Any of the replicas may replace a leaving leader, so all of them need the commit. Another instance that replaces
+    // the leader may also promote a member that does not answer here.
+    let is_replicated = if group.is_leader_leaving() {
+        have_all(&successor_candidates(group), point)
+    } else if group.is_being_replaced(now) {
+        have_all(&other_members(group), point)
+    } else {
+        successor_candidates(group).iter().any(|it| it.has_commit(point))
     };
     is_replicated.then_some(CommitStatus::Replicated)
 }
@@ -181,13 +195,18 @@
 /// reports the end of its log in the old term.
 fn status_with_successor(group: &Group, point: LogPoint) -> Option<CommitStatus> {
     let successor = group.target(&group.leader()?.member);
-    let is_replicated = successor.is_some_and(|it| has_commit(&it, point));
+    let is_replicated = successor.is_some_and(|it| it.has_commit(point));
     Some(if is_replicated { CommitStatus::Replicated } else { CommitStatus::Superseded })
 }
 
-/// Whether the target is known to have the commit at `point`.
-fn has_commit(target: &Target, point: LogPoint) -> bool {
-    target.point().is_some_and(|it| it.term == point.term && it.position >= point.position)
+/// Whether there are targets and all of them have the commit at `point`.
+fn have_all(targets: &[Rc<Target>], point: LogPoint) -> bool {
+    !targets.is_empty() && targets.iter().all(|it| it.has_commit(point))
+}
+
+/// All listed members but the leader.
+fn other_members(group: &Group) -> Vec<Rc<Target>> {
+    group.targets().into_iter().filter(|it| !group.is_leader(&it.member())).collect()
 }
 
 /// The replicas that may become the next leader.
@@ -202,14 +221,21 @@
 }
 
 /// Asks the replicas that are not known to have the commit where their logs end.
+///
+/// While the leader is being replaced, they are also asked what they have received: replicas that apply commits late
+/// would otherwise confirm nothing until the new leader is known.
 fn poll_replicas(borders: &Borders, group: &Rc<Group>, point: LogPoint) {
-    for target in successor_candidates(group).into_iter().filter(|it| !has_commit(it, point)) {
+    for target in successor_candidates(group).into_iter().filter(|it| !it.has_commit(point)) {
         if target.is_polled.replace(true) {
             continue;
         }
         let (borders, group) = (borders.clone(), Rc::clone(group));
         let task = async move {
             target_watch::check(&borders, &group, &target).await;
+            if !target.has_commit(point) && group.is_being_replaced(borders.clock.boot_now()) {
+                let deadline = borders.clock.now() + RECEIVED_QUERY_TIMEOUT;
+                received_point::query(&*borders.clock, &group, &target, deadline).await;
+            }
             target.is_polled.set(false);
             group.notify_progress();
         };
--- a/crates/gullspar_direct/src/writing/transaction.rs
+++ b/crates/gullspar_direct/src/writing/transaction.rs
@@ -77,6 +77,10 @@
         Rc::clone(&self.group)
     }
 
+    pub(crate) fn is_read_only(&self) -> bool {
+        self.read_only
+    }
+
     pub(crate) fn status(&self) -> TransactionStatus {
         if self.failed { TransactionStatus::Failed } else { TransactionStatus::Open }
     }
--- a/crates/gullspar_direct/tests/failover.rs
+++ b/crates/gullspar_direct/tests/failover.rs
@@ -171,6 +171,32 @@
     });
 }
 
+/// Guards against acknowledging a commit that one replica has while another one, which lacks it, is being promoted.
+#[test]
+fn a_commit_is_not_acknowledged_because_of_a_replica_that_is_not_promoted() {
+    run(async {
+        let world = World::new();
+        world.promoter.duration_ms.set(800);
+        let proxies = world.instances(3).await;
+        let caller = world.caller(&proxies[2], LATEST).await;
+        caller.execute_ok("WRITE before order").await;
+        pause(500).await;
+        // Both replicas have the same log, of which the third member is promoted; then only the second one goes on.
+        world.group.inject_fault(2, Fault::ReplicationStopped);
+        world.group.inject_fault(0, Fault::UnresponsiveTo(1));
+        world.group.inject_fault(0, Fault::UnresponsiveTo(2));
+        wait_until(FAILOVER_TIMEOUT_MS, "a promotion is ordered", || {
+            !world.promoter.orders().is_empty()
+        })
+        .await;
+        assert_eq!(world.promoter.orders()[0].member, "m2".into());
+        pause(200).await;
+        let answer = caller.execute("WRITE slot mine").await;
+        assert_eq!(answer.result.unwrap_err().code, FailureCode::Unknown);
+        assert_eq!(world.group.value("slot"), None);
+    });
+}
+
 /// Guards against acknowledging a commit that a promotion has undone because the former leader counts as a replica
 /// that has it.
 #[test]
--- a/crates/gullspar_direct/tests/target_selection.rs
+++ b/crates/gullspar_direct/tests/target_selection.rs
@@ -7,8 +7,9 @@
 use std::time::{Duration, Instant};
 
 use futures::future;
+use gullspar_direct::{Freshness, Route};
 use gullspar_statement::FailureCode;
-use support::{BOUNDED, Fault, run, world_with_instance};
+use support::{BOUNDED, Fault, LATEST, World, catalogue, pause, run, world_with_instance};
 use test_case::test_case;
 
 /// Maximum time until replicas that were slow are read from again: their mean statement time is halved four
@@ -103,3 +104,56 @@
         caller.execute_ok("ROLLBACK").await;
     });
 }
+
+/// Guards against reads that use up the only replica that has caught up, although a replica that lags could serve them.
+#[test]
+fn reads_that_need_less_go_to_a_replica_that_lags() {
+    run(async {
+        let world = World::new();
+        let mut catalogue = catalogue(1);
+        let bounded = catalogue.routes[&BOUNDED.into()].clone();
+        let tolerant = Route { freshness: Freshness::MaxAge { ms: 5000 }, ..bounded };
+        catalogue.routes.insert("archive".into(), tolerant);
+        let proxy = world.instance_with_catalogue(1, catalogue);
+        world.wait_for_leader(&proxy).await;
+        let (writer, reader) =
+            (world.caller(&proxy, LATEST).await, world.caller(&proxy, BOUNDED).await);
+        let tolerant = world.caller(&proxy, "archive").await;
+        writer.execute_ok("WRITE slot old").await;
+        pause(500).await;
+        world.group.inject_fault(2, Fault::AppliesLate);
+        for _ in 0..25 {
+            writer.execute_ok("WRITE slot new").await;
+            pause(100).await;
+        }
+        for _ in 0..20 {
+            reader.execute_ok("READ slot").await;
+            assert_ne!(world.group.executed().last().unwrap().member, "m2".into());
+            tolerant.execute_ok("READ slot").await;
+            assert_eq!(world.group.executed().last().unwrap().member, "m2".into());
+        }
+    });
+}
+
+/// Guards against a replica that lagged for seconds and gets no reads long after it has caught up.
+#[test]
+fn a_replica_that_has_caught_up_is_read_from_at_once() {
+    run(async {
+        let (world, proxy) = world_with_instance().await;
+        let (writer, reader) =
+            (world.caller(&proxy, LATEST).await, world.caller(&proxy, BOUNDED).await);
+        [1, 2].into_iter().for_each(|it| world.group.inject_fault(it, Fault::AppliesLate));
+        for _ in 0..40 {
+            writer.execute_ok("WRITE slot new").await;
+            reader.execute_ok("READ slot").await;
+            pause(80).await;
+        }
+        assert!(world.is_last_statement_on_leader());
+        [1, 2].into_iter().for_each(|it| world.group.clear_faults(it));
+        let caught_up = Instant::now();
+        while world.is_last_statement_on_leader() {
+            assert!(caught_up.elapsed() < Duration::from_millis(300), "replicas get no reads");
+            reader.execute_ok("READ slot").await;
+        }
+    });
+}
