--- a/crates/gullspar_direct/src/fleet/mod.rs
+++ b/crates/gullspar_direct/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) mod home_state;
 pub mod homes;
 pub(crate) mod last_known;
+pub(crate) mod leader_reports;
 pub(crate) mod limits;
 pub(crate) mod members;
 pub(crate) mod partition;
--- a/crates/gullspar_direct/src/fleet/peer_message.rs
+++ b/crates/gullspar_direct/src/fleet/peer_message.rs
@@ -4,7 +4,7 @@
 use gullspar_model::record;
 
 use crate::fleet::rotation::{RotationReport, RotationVerdict};
-use crate::{Heartbeat, HomeProbe, HomeProbeAnswer};
+use crate::{Heartbeat, HomeProbe, HomeProbeAnswer, LeaderReports};
 
 record! {
     /// The content of one datagram.
@@ -17,5 +17,6 @@
         HomeProbeAnswer(HomeProbeAnswer),
         RotationReport(RotationReport),
         RotationVerdict(RotationVerdict),
+        LeaderReports(LeaderReports),
     }
 }
--- a/crates/gullspar_direct/src/targets/target_watch.rs
+++ b/crates/gullspar_direct/src/targets/target_watch.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use gullspar_border::within;
+use gullspar_border::{BootInstant, within};
 use gullspar_model::NotRun;
 use gullspar_statement::{FailureCode, TargetCommand, TransactionStatus};
 
@@ -17,6 +17,9 @@
 /// Interval between checks of a replica.
 const REPLICA_CHECK_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Interval between checks of a replica that lags. Reads are sent to it again once a check shows that it has caught up.
+const LAGGING_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Interval between checks while the group has no responsive leader or the target missed its last check.
 const FAILING_CHECK_INTERVAL: Duration = Duration::from_millis(40);
 
@@ -29,6 +32,10 @@
 /// Time without an answer after which a check opens a connection of its own if statements use all others.
 const OVERDUE_AFTER: Duration = Duration::from_millis(250);
 
+/// Time without an answer to a check after which this applies as well while the group has no leader, although statements
+/// are answered. Limits the connections that are opened for checks.
+const LEADERLESS_OVERDUE_AFTER: Duration = Duration::from_millis(200);
+
 /// Delay of the next check after a target refused a connection because it was congested or had too many connections.
 const FULL_CHECK_DELAY: Duration = Duration::from_millis(200);
 
@@ -70,19 +77,27 @@
         }
         target.pool.close_surplus();
         let woken = group.listen_check_request();
-        let until = borders.clock.now() + check_interval(&group, &target, &check);
+        let until =
+            borders.clock.now() + check_interval(&group, &target, &check, borders.clock.boot_now());
         // Runs the next check after the interval, or when the group requests one.
         let _ = within(&*borders.clock, until, woken).await;
     }
 }
 
-fn check_interval(group: &Group, target: &Target, check: &CheckResult) -> Duration {
+fn check_interval(
+    group: &Group,
+    target: &Target,
+    check: &CheckResult,
+    now: BootInstant,
+) -> Duration {
     if matches!(check, CheckResult::Full) {
         FULL_CHECK_DELAY
     } else if group.responsive_leader().is_none() || target.has_missed_checks() {
         FAILING_CHECK_INTERVAL
     } else if group.is_leader(&target.member()) {
         LEADER_CHECK_INTERVAL
+    } else if group.is_lagging(target, now) {
+        LAGGING_CHECK_INTERVAL
     } else {
         REPLICA_CHECK_INTERVAL
     }
@@ -90,7 +105,14 @@
 
 /// Checks the target once, unless statements use all connections and the target answered recently.
 pub(crate) async fn check(borders: &Borders, group: &Group, target: &Target) -> CheckResult {
-    let overdue = !target.has_responded_since(borders.clock.boot_now().minus(OVERDUE_AFTER));
+    if group.leader().is_none() {
+        // The target may be the new leader, which only a check shows, however busy it is with reads.
+        target.pool.wait_for_idle().await;
+    }
+    let now = borders.clock.boot_now();
+    let overdue = !target.has_responded_since(now.minus(OVERDUE_AFTER))
+        || group.leader().is_none()
+            && !target.has_answered_check_since(now.minus(LEADERLESS_OVERDUE_AFTER));
     run_check(borders, group, target, overdue).await
 }
 
@@ -125,10 +147,14 @@
     };
     let Some(first) = answers.first() else { return CheckResult::Missed };
     target.record_point(first.point);
+    target.record_answered_check(clock.boot_now());
     match (&first.result, first.point) {
-        (Ok(_), Some(point)) => group.record_leader(&spec.member, point, requested_at),
+        (Ok(_), Some(point)) => {
+            let undone = group.record_leader(&spec.member, point, requested_at);
+            borders.stats.rolled_back_acknowledged(undone as u64);
+        }
         (Err(failure), _) if failure.code == FailureCode::ReadOnly => {
-            group.record_not_leader(&spec.member, clock.now());
+            group.record_not_leader(&spec.member, clock.now(), clock.boot_now());
         }
         _ => {}
     }
