Acknowledge a commit by one replica only while most instances confirm the leader

Expected cause, by reading and by test: a primary is cut off from 65% of the instances and from one replica. The instances on its side go on acknowledging commits, because the other replica, which is on their side too, has them, while the others promote the replica that lacks them. Commits that only the leader has were held back in this case; those that one replica has were not. The fault is older than this work: it needs a promotion within the cut.

Change: one replica suffices only while most instances that monitor the group recently reported nothing against its leader; otherwise all listed members must have the commit. Writes that could not be confirmed are refused before they are sent, except in the first second of a leader, when the others still learn of it: those wait.

Test: fails without the change (a write sent after the order is acknowledged).

--- a/crates/gullspar_direct/src/writing/confirmation.rs
+++ b/crates/gullspar_direct/src/writing/confirmation.rs
@@ -37,6 +37,9 @@
 /// How long one query for a received position may take while commits are held back.
 const RECEIVED_QUERY_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Time in which the other instances learn of a new leader. Until then, writes are sent and wait for their confirmation.
+const NEW_LEADER_PERIOD: Duration = Duration::from_secs(1);
+
 /// Interval between checks of whether a commit that only its leader has may be acknowledged.
 const LEADER_ONLY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -82,7 +85,7 @@
         let mut poll_delay = FIRST_POLL_DELAY;
         loop {
             let progress = group.listen_progress();
-            if let Some(status) = commit_status(group, commit, clock.boot_now()) {
+            if let Some(status) = self.commit_status(group, commit, clock.boot_now()) {
                 if status == CommitStatus::Replicated {
                     group.record_acknowledged(point);
                     group.update_typical_lag(clock.now().saturating_duration_since(started));
@@ -120,7 +123,50 @@
     /// Whether the commit of a write that is sent to the leader now could be acknowledged.
     pub(crate) fn can_confirm_commits(&self, group: &Group) -> bool {
         let now = self.borders.clock.boot_now();
-        !successor_candidates(group).is_empty() || self.can_acknowledge_alone(group, now)
+        let (candidates, others) = (successor_candidates(group), other_members(group));
+        let can_be_replicated =
+            match self.is_leader_confirmed(group, now) || group.led_for(now) < NEW_LEADER_PERIOD {
+                true => !candidates.is_empty(),
+                false => !others.is_empty() && candidates.len() == others.len(),
+            };
+        can_be_replicated || self.can_acknowledge_alone(group, now)
+    }
+
+    /// Whether most instances that monitor `group` recently reported nothing against its leader.
+    ///
+    /// If not, this instance may be partitioned together with the leader and a replica while the other instances promote
+    /// the other replica.
+    fn is_leader_confirmed(&self, group: &Group, now: BootInstant) -> bool {
+        let since = BootInstant::MACHINE_START;
+        group.leader().is_some_and(|it| {
+            self.peers.views.is_leader_confirmed(&group.name, &it.member, since, now)
+        })
+    }
+
+    /// The status of the commit as known now; `None` while it is undecided.
+    fn commit_status(
+        &self,
+        group: &Group,
+        commit: &Commit,
+        now: BootInstant,
+    ) -> Option<CommitStatus> {
+        let point = commit.point;
+        if group.newest_term() > point.term {
+            return Some(CommitStatus::Superseded);
+        }
+        if !group.is_leader(&commit.leader) {
+            return status_with_successor(group, point);
+        }
+        // Any of the replicas may replace a leaving leader, so all of them need the commit. Another instance that replaces
+        // the leader may also promote a member that does not answer here.
+        let is_replicated = if group.is_leader_leaving() {
+            have_all(&successor_candidates(group), point)
+        } else if group.is_being_replaced(now) || !self.is_leader_confirmed(group, now) {
+            have_all(&other_members(group), point)
+        } else {
+            successor_candidates(group).iter().any(|it| it.has_commit(point))
+        };
+        is_replicated.then_some(CommitStatus::Replicated)
     }
 
     fn record_leader_only(&self, group: &Group, point: LogPoint, wait: Duration) {
@@ -168,27 +214,6 @@
     }
 }
 
-/// The status of the commit as known now; `None` while it is undecided.
-fn commit_status(group: &Group, commit: &Commit, now: BootInstant) -> Option<CommitStatus> {
-    let point = commit.point;
-    if group.newest_term() > point.term {
-        return Some(CommitStatus::Superseded);
-    }
-    if !group.is_leader(&commit.leader) {
-        return status_with_successor(group, point);
-    }
-    // Any of the replicas may replace a leaving leader, so all of them need the commit. Another instance that replaces
-    // the leader may also promote a member that does not answer here.
-    let is_replicated = if group.is_leader_leaving() {
-        have_all(&successor_candidates(group), point)
-    } else if group.is_being_replaced(now) {
-        have_all(&other_members(group), point)
-    } else {
-        successor_candidates(group).iter().any(|it| it.has_commit(point))
-    };
-    is_replicated.then_some(CommitStatus::Replicated)
-}
-
 /// The status of a commit whose leader no longer leads; `None` until the successor is known.
 ///
 /// Only the successor's log counts: all other members drop what it lacks. Until its first commit the successor
--- a/crates/gullspar_direct/tests/failover.rs
+++ b/crates/gullspar_direct/tests/failover.rs
@@ -197,6 +197,43 @@
     });
 }
 
+/// Guards against acknowledging commits that a replica on the leader's side of a partition has, while the instances on the
+/// other side promote the other replica.
+#[test]
+fn an_instance_on_the_smaller_side_acknowledges_nothing_by_one_replica() {
+    run(async {
+        let world = World::new();
+        world.promoter.duration_ms.set(600);
+        let proxies = world.instances(3).await;
+        world.caller(&proxies[0], LATEST).await.execute_ok("WRITE before cut").await;
+        pause(500).await;
+        // The first instance and two members on one side, two instances and the third member on the other.
+        world.network.partition(1);
+        for (member, instance) in [(0, 2), (0, 3), (1, 2), (1, 3), (2, 1)] {
+            world.group.inject_fault(member, Fault::UnresponsiveTo(instance));
+        }
+        world.group.inject_fault(2, Fault::ReplicationStopped);
+        // A write that is sent before the others oppose the leader may wait, so the writes don't wait for each other.
+        let mut sent_after_the_order = Vec::new();
+        while world.group.leader() == Some("m0".into()) {
+            let is_ordered = !world.promoter.orders().is_empty();
+            let caller = world.caller(&proxies[0], LATEST).await;
+            let write = async move { caller.execute("WRITE slot mine").await.result.is_ok() };
+            let write = compio::runtime::spawn(write);
+            if is_ordered {
+                sent_after_the_order.push(write);
+            } else {
+                write.detach();
+            }
+            pause(20).await;
+        }
+        assert!(!sent_after_the_order.is_empty(), "no write was sent after the order");
+        for write in sent_after_the_order {
+            assert!(!write.await.unwrap(), "a write that was sent after the order is acknowledged");
+        }
+    });
+}
+
 /// Guards against acknowledging a commit that a promotion has undone because the former leader counts as a replica
 /// that has it.
 #[test]
