Count no group as servable whose leader is cut off with its data centre

Cause: a leader in the data centre counts as reachable, though the other side does not reach it and replaces it before a change of rotation takes effect.

Change: a group of which no member in another data centre answers is not servable. The test fails without it. A transfer also looks for a successor before it reads the claim, so that a group without one costs no calls to the store.

--- a/crates/gullspar_direct/src/fleet/rotation_exchange.rs
+++ b/crates/gullspar_direct/src/fleet/rotation_exchange.rs
@@ -18,6 +18,9 @@
 /// sessions.
 const NEW_GROUP_PERIOD: Duration = Duration::from_millis(600);
 
+/// Time in which each target answers a check if it can be reached.
+const OUTSIDE_ANSWER_TTL: Duration = Duration::from_millis(600);
+
 /// Refused callers are told to retry within this time after a change of rotation has taken effect, so that they don't all
 /// return at the same moment.
 const RETRY_SPREAD: Duration = Duration::from_millis(300);
@@ -27,7 +30,9 @@
     pub(crate) fn maintain_rotation(&self) {
         let now = self.borders.clock.boot_now();
         self.rotation.recent_use.decay(now);
-        let led = self.groups().into_iter().filter(|it| self.can_reach_leader(it));
+        let is_led =
+            |it: &Rc<Group>| self.can_reach_leader(it) && !self.is_cut_off_with_leader(it, now);
+        let led = self.groups().into_iter().filter(is_led);
         let view = (self.lacks_contact(now), led.map(|it| it.name.clone()).collect());
         if self.rotation.last_view.replace(view.clone()) != view {
             self.rotation.participant.borrow_mut().report_soon();
@@ -125,6 +130,16 @@
         group.responsive_leader().is_some() || self.forwarding_candidates(&group.name).is_some()
     }
 
+    /// Whether no member of `group` in another data centre answers here. The other side of the partition then does not
+    /// reach a leader in this data centre, and replaces it before a change of rotation takes effect.
+    fn is_cut_off_with_leader(&self, group: &Group, now: BootInstant) -> bool {
+        let since = now.minus(OUTSIDE_ANSWER_TTL);
+        let targets = group.targets();
+        let mut outside =
+            targets.iter().filter(|it| it.spec().data_centre != self.own.data_centre).peekable();
+        outside.peek().is_some() && outside.all(|it| !it.has_responded_since(since))
+    }
+
     /// Whether this instance became a home of `group` only just now.
     pub(crate) fn is_new_home(&self, group: &Group) -> bool {
         let known_for =
@@ -146,7 +161,7 @@
         let reported = groups.iter().filter(|it| !self.is_new_home(it));
         let status = |group: &Rc<Group>| GroupStatus {
             group: group.name.clone(),
-            has_leader: self.can_reach_leader(group),
+            has_leader: self.can_reach_leader(group) && !self.is_cut_off_with_leader(group, now),
             sample_age_ms: group.newest_position_sample().map(|it| {
                 let age = now.since(it.requested_at).as_millis();
                 age.try_into().unwrap_or(u32::MAX)
--- a/crates/gullspar_direct/src/groups/failover.rs
+++ b/crates/gullspar_direct/src/groups/failover.rs
@@ -164,6 +164,12 @@
     /// Selects a candidate, obtains the claim and orders the promotion.
     async fn replace_leader(&self, cause: FailoverCause, began: Instant) {
         let clock = Rc::clone(&self.borders.clock);
+        // Replicas that have not received everything may not for seconds. Until then the store is not asked.
+        let successor = if cause.is_transfer() { self.select_successor().await } else { None };
+        if cause.is_transfer() && successor.is_none() {
+            clock.sleep_until(clock.now() + TRANSFER_RETRY_DELAY).await;
+            return;
+        }
         let current = match self.borders.claims.current(&self.group.name).await {
             Ok(current) => current,
             Err(err) => {
@@ -171,14 +177,12 @@
             }
         };
         let previous = current.as_ref().and_then(|it| it.claim.as_ref());
-        let candidate = if cause.is_transfer() {
-            self.select_successor().await
-        } else {
-            self.select_candidate(cause, began, previous).await
+        let candidate = match successor {
+            Some(successor) => Some(successor),
+            None => self.select_candidate(cause, began, previous).await,
         };
         let Some(candidate) = candidate else {
-            let delay = if cause.is_transfer() { TRANSFER_RETRY_DELAY } else { CHECK_INTERVAL };
-            clock.sleep_until(clock.now() + delay).await;
+            clock.sleep_until(clock.now() + CHECK_INTERVAL).await;
             return;
         };
         let over = current.as_ref().map(|it| it.token);
--- a/crates/gullspar_direct/tests/partitioned_data_centre.rs
+++ b/crates/gullspar_direct/tests/partitioned_data_centre.rs
@@ -161,6 +161,29 @@
     });
 }
 
+/// Guards against a data centre that stays in rotation for the leaders in it, which the other instances replace at once.
+#[test]
+fn a_data_centre_partitioned_with_its_own_leader_only_leaves_rotation() {
+    run(async {
+        let world = World::new();
+        world.group.is_spread.set(true);
+        // The verdict must not wait until the leader has been replaced.
+        world.promoter.duration_ms.set(2 * LEAVE_ROTATION_TIMEOUT_MS);
+        let proxies = start_fleet(&world).await;
+        let partitioned = in_data_centre(0);
+        let others: Vec<u16> = (1..=FLEET).filter(|it| !partitioned.contains(it)).collect();
+        world.network.partition_between(&partitioned, &others);
+        let unreachable_for = |member: usize| if member == 0 { &others } else { &partitioned };
+        for (member, instance) in
+            (0..3).flat_map(|it| unreachable_for(it).iter().map(move |n| (it, *n)))
+        {
+            world.group.inject_fault(member, Fault::UnresponsiveTo(instance));
+        }
+        let are_out = || partitioned.iter().all(|it| !instance(&proxies, *it).is_ready());
+        wait_until(LEAVE_ROTATION_TIMEOUT_MS, "all are out of rotation", are_out).await;
+    });
+}
+
 /// Services of the groups besides the first one.
 const MORE_SERVICES: [&str; 3] = ["billing", "stock", "orders"];
 
--- a/crates/gullspar_direct/tests/support/fake_group.rs
+++ b/crates/gullspar_direct/tests/support/fake_group.rs
@@ -66,6 +66,8 @@
     pub statement_duration_ms: Cell<u64>,
     /// Duration of a rollback, in milliseconds.
     pub rollback_duration_ms: Cell<u64>,
+    /// Whether each member is in a data centre of its own: `dc-0`, `dc-1` and so on. If not, all are in `dc-1`.
+    pub is_spread: Cell<bool>,
     /// Maximum number of connections to each member.
     pub max_connections: Cell<Option<u32>>,
     /// Connections of stopped instances that each member still holds open.
@@ -114,6 +116,7 @@
             failed_statements: Cell::new(0),
             statement_duration_ms: Cell::new(1),
             rollback_duration_ms: Cell::new(0),
+            is_spread: Cell::new(false),
             max_connections: Cell::new(None),
             stale_connections: Cell::new(0),
             connect_duration_ms: Cell::new(0),
@@ -131,7 +134,10 @@
             member: member.name.clone(),
             group: self.name.as_str().into(),
             address: SocketAddr::from(([127, 0, 0, 2], index as u16 + 1)),
-            data_centre: "dc-1".into(),
+            data_centre: match self.is_spread.get() {
+                true => format!("dc-{index}").as_str().into(),
+                false => "dc-1".into(),
+            },
             slots: 4,
             leaving: member.leaving.get(),
             started_ms: Some(member.started_ms.get()),
