Make orders without an answer void before commits need one replica again

A leader was dark for a second, the order to replace it got no answer, and the leader was back. 2.2 s later the order was carried out and promoted a replica that lacked what only the other replica had received.

Cause: an order without an answer was forgotten as soon as the leader was back (G0718 with no G0717 and no later claim in the instances' logs, then G0706 for a member that nobody had ordered again), and commits were held back for all members only for 1.8 s after the last act, although nothing limits how late an order is carried out. An instance that started meanwhile knew nothing of it.

Now a claim is settled only by the platform's answer to an order with its token whose member leads. Until then each home of a synchronous group holds commits back until all listed members have them; homes tell each other which claims are settled, and an instance that begins to serve the group reads the claim from the store. Once the leader is back, or another member leads and no answer came, the present leader is ordered with a new claim, which changes nothing and makes the older orders void. The order of a failover or of a leaving leader's replacement is sent only once the other homes have reported its claim, and the candidate is chosen again after that. Planned transfers settle their claims in the same way. Groups without `syncReplicas` are served as before.

--- a/crates/gullspar_direct/src/configuration/catalogue.rs
+++ b/crates/gullspar_direct/src/configuration/catalogue.rs
@@ -30,6 +30,8 @@
     pub struct GroupLimits {
         /// Maximum number of connections to one member, from all instances together.
         pub connections: u32,
+        /// Replicas that must have received a commit before a member acknowledges it; 0 if it waits for none.
+        pub sync_replicas: u32,
     }
 }
 
--- a/crates/gullspar_direct/src/configuration/directory.rs
+++ b/crates/gullspar_direct/src/configuration/directory.rs
@@ -167,6 +167,13 @@
         self.catalogue.borrow().as_ref().map_or(0, |it| it.version)
     }
 
+    /// Whether members of `group` acknowledge a commit only once a replica has received it.
+    pub(crate) fn is_synchronous(&self, group: &GroupName) -> bool {
+        let catalogue = self.catalogue.borrow();
+        let limits = catalogue.as_ref().and_then(|it| it.groups.get(group));
+        limits.is_some_and(|it| it.sync_replicas > 0)
+    }
+
     /// The revision of the list of targets; the default revision if there is none.
     pub fn target_revision(&self) -> Revision {
         self.target_revision.borrow().unwrap_or_default()
--- /dev/null
+++ b/crates/gullspar_direct/src/fleet/commit_reports.rs
@@ -0,0 +1,77 @@
+//! Exchanges reports about synchronous groups with the other homes of these groups.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use gullspar_border::BootInstant;
+use gullspar_model::GroupName;
+
+use crate::groups::group::Group;
+use crate::{CommitReport, CommitReports, PeerMessage, Proxy};
+
+/// Interval at which unchanged reports are repeated, for instances that have just started and for lost datagrams.
+const REPEAT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Maximum number of reports in a message; a report takes about 50 bytes.
+const MAX_REPORTS: usize = 20;
+
+/// The reports that were sent last.
+#[derive(Default)]
+pub(crate) struct SentCommitReports {
+    at: Option<BootInstant>,
+    reports: BTreeMap<GroupName, CommitReport>,
+}
+
+impl Proxy {
+    /// Sends reports about synchronous groups to the homes that share them: those that have changed, and at intervals all.
+    pub(crate) fn send_commit_reports(&self, sent: &mut SentCommitReports) {
+        let now = self.borders.clock.boot_now();
+        let is_due = sent.at.is_none_or(|it| now.since(it) >= REPEAT_INTERVAL);
+        let groups = self.groups();
+        let reports: Vec<CommitReport> =
+            groups.iter().filter(|it| it.is_synchronous()).map(|it| it.commit_report()).collect();
+        let is_new = |it: &&CommitReport| is_due || sent.reports.get(&it.group) != Some(*it);
+        let due: Vec<&CommitReport> = reports.iter().filter(is_new).collect();
+        if !due.is_empty() {
+            for address in self.peers.group_peers(|_| true) {
+                let shared = self.peers.shared_groups(address);
+                let selected: Vec<CommitReport> = due
+                    .iter()
+                    .filter(|it| shared.contains(&it.group))
+                    .map(|it| (*it).clone())
+                    .collect();
+                for reports in selected.chunks(MAX_REPORTS) {
+                    let reports =
+                        CommitReports { from: self.own.id.clone(), reports: reports.to_vec() };
+                    self.borders.peers.send(address, &PeerMessage::CommitReports(reports));
+                }
+            }
+        }
+        if is_due {
+            sent.at = Some(now);
+        }
+        sent.reports = reports.into_iter().map(|it| (it.group.clone(), it)).collect();
+    }
+
+    /// Applies the reports of another home.
+    pub(crate) fn apply_commit_reports(&self, reports: CommitReports) {
+        for report in reports.reports.into_iter().take(MAX_REPORTS) {
+            if let Some(group) = self.group(&report.group) {
+                group.apply_commit_report(&report);
+            }
+        }
+    }
+}
+
+impl Group {
+    /// What this instance reports about the group.
+    fn commit_report(&self) -> CommitReport {
+        CommitReport { group: self.name.clone(), settled: self.claims().settled() }
+    }
+
+    fn apply_commit_report(&self, report: &CommitReport) {
+        if let Some(token) = report.settled {
+            self.record_settled(token);
+        }
+    }
+}
--- a/crates/gullspar_direct/src/fleet/heartbeats.rs
+++ b/crates/gullspar_direct/src/fleet/heartbeats.rs
@@ -10,6 +10,7 @@
 use gullspar_model::GroupName;
 
 use crate::configuration::update_source::UpdateSource;
+use crate::fleet::commit_reports::SentCommitReports;
 use crate::proxy::SETTLE_PERIOD;
 use crate::{GroupView, Heartbeat, Members, PeerMessage, Phase, Proxy, Snapshot, SnapshotRequest};
 
@@ -23,6 +24,7 @@
     next_round: Option<Instant>,
     /// When reports about leaders were last sent.
     leader_reports_at: Option<BootInstant>,
+    commit_reports: SentCommitReports,
     views: BTreeMap<GroupName, GroupView>,
     catalogue_version: u64,
 }
@@ -39,6 +41,7 @@
             let is_due = last_sent.next_round.is_none_or(|it| sent_at >= it);
             self.send_round(&mut last_sent, is_due);
             self.send_leader_reports(&mut last_sent.leader_reports_at);
+            self.send_commit_reports(&mut last_sent.commit_reports);
             if is_due {
                 last_sent.next_round = Some(sent_at + HEARTBEAT_INTERVAL);
             }
@@ -148,6 +151,7 @@
             PeerMessage::RotationReport(report) => self.handle_rotation_report(report),
             PeerMessage::RotationVerdict(verdict) => self.handle_rotation_verdict(verdict),
             PeerMessage::LeaderReports(reports) => self.apply_leader_reports(reports),
+            PeerMessage::CommitReports(reports) => self.apply_commit_reports(reports),
         }
     }
 
--- a/crates/gullspar_direct/src/fleet/home_groups.rs
+++ b/crates/gullspar_direct/src/fleet/home_groups.rs
@@ -74,6 +74,10 @@
         // are not connected to.
         let Some(inputs) = self.home_inputs(group) else { return };
         let Some(known) = self.directory.group_targets(group) else { return };
+        let is_synchronous = self.directory.is_synchronous(group);
+        if !known.targets.is_empty() {
+            self.group_or_new(group).set_synchronous(is_synchronous);
+        }
         let homes = self.homes_of(group, &inputs);
         let holders = homes.map_or_else(|| self.members().len(), |it| it.holders);
         for spec in &known.targets {
--- a/crates/gullspar_direct/src/fleet/mod.rs
+++ b/crates/gullspar_direct/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Cooperation between instances: membership, heartbeats, and which instance serves which group.
 
 pub(crate) mod alternate_route;
+pub(crate) mod commit_reports;
 pub(crate) mod discovery;
 pub(crate) mod heartbeat;
 pub(crate) mod heartbeats;
--- a/crates/gullspar_direct/src/fleet/peer_message.rs
+++ b/crates/gullspar_direct/src/fleet/peer_message.rs
@@ -4,7 +4,7 @@
 use gullspar_model::record;
 
 use crate::fleet::rotation::{RotationReport, RotationVerdict};
-use crate::{Heartbeat, HomeProbe, HomeProbeAnswer, LeaderReports};
+use crate::{CommitReports, Heartbeat, HomeProbe, HomeProbeAnswer, LeaderReports};
 
 record! {
     /// The content of one datagram.
@@ -18,5 +18,6 @@
         RotationReport(RotationReport),
         RotationVerdict(RotationVerdict),
         LeaderReports(LeaderReports),
+        CommitReports(CommitReports),
     }
 }
--- a/crates/gullspar_direct/src/groups/claim_tracker.rs
+++ b/crates/gullspar_direct/src/groups/claim_tracker.rs
@@ -7,6 +7,9 @@
 
 use crate::FencingToken;
 
+/// Lower than the token of each claim.
+const NO_CLAIM: FencingToken = FencingToken(0);
+
 record! {
     /// The newest claim that an instance knows of, as sent to other instances.
     pub struct ClaimReport {
@@ -28,6 +31,10 @@
     /// A store that is restored from an older copy loses claims and may grant a new one while the holder of a
     /// lost claim is still active.
     previous: Option<KnownClaim>,
+    /// The newest claim that is known to be settled; `None` until the store or another instance has told of one.
+    settled: Option<FencingToken>,
+    /// When the oldest claim that is not known to be settled became known.
+    unsettled_since: Option<BootInstant>,
 }
 
 #[derive(Clone, Debug)]
@@ -41,7 +48,7 @@
     /// Creates an empty tracker. For `lease` after a holder has acted, no other instance may act unless the holder
     /// no longer runs.
     pub fn new(lease: Duration) -> ClaimTracker {
-        ClaimTracker { lease, newest: None, previous: None }
+        ClaimTracker { lease, newest: None, previous: None, settled: None, unsettled_since: None }
     }
 
     /// Records that the store held this claim at `at`.
@@ -56,6 +63,9 @@
 
     /// Records that `holder` acted with `token` at `at`.
     pub fn record_act(&mut self, token: FencingToken, holder: InstanceId, at: BootInstant) {
+        if self.settled.is_none_or(|it| it < token) && self.unsettled_since.is_none() {
+            self.unsettled_since = Some(at);
+        }
         match &mut self.newest {
             Some(claim) if claim.token > token => {}
             Some(claim) if claim.token == token => claim.acted_at = claim.acted_at.max(at),
@@ -72,6 +82,35 @@
         }
     }
 
+    /// Records that no order under `token`, or under an older claim, can make another member the leader any more.
+    pub fn record_settled(&mut self, token: FencingToken) {
+        self.settled = self.settled.max(Some(token));
+        if self.is_settled() {
+            self.unsettled_since = None;
+        }
+    }
+
+    /// Records that the store has never held a claim for the group.
+    pub fn record_unclaimed(&mut self) {
+        self.record_settled(NO_CLAIM);
+    }
+
+    /// The newest claim that is known to be settled.
+    pub fn settled(&self) -> Option<FencingToken> {
+        self.settled
+    }
+
+    /// Whether no order under any claim can make another member the leader any more. Until the first news of a claim
+    /// this is unknown, and the answer is `false`.
+    pub fn is_settled(&self) -> bool {
+        self.settled.is_some_and(|it| self.newest.as_ref().is_none_or(|newest| newest.token <= it))
+    }
+
+    /// Whether a claim is not known to be settled, and became known after `instant`.
+    pub fn is_unsettled_since(&self, instant: BootInstant) -> bool {
+        !self.is_settled() && self.unsettled_since.is_some_and(|it| it >= instant)
+    }
+
     /// Applies a report that the instance `from` sent and that arrived at `now`.
     ///
     /// For a known claim, only reports from its holder count: a report's age omits the time that the report was in
--- a/crates/gullspar_direct/src/groups/failover.rs
+++ b/crates/gullspar_direct/src/groups/failover.rs
@@ -5,10 +5,11 @@
 use std::time::Instant;
 
 use gullspar_border::within;
-use gullspar_model::{InstanceId, MemberName};
+use gullspar_model::{InstanceId, MemberName, Term};
 
 use crate::fleet::homes;
 use crate::groups::candidate::Candidate;
+use crate::groups::claim_reading::ClaimReading;
 use crate::groups::failover_timing::{
     CALM_CHECK_INTERVAL, CHECK_INTERVAL, LEADERLESS_TIMEOUT, MAX_ORDER_ATTEMPTS, PROMOTION_TIMEOUT,
     RETRY_DELAY, TRANSFER_RETRY_DELAY, TRANSFER_STORE_RETRY_DELAY, TURN_DELAY,
@@ -33,6 +34,8 @@
     NoLeader,
     /// The leader answers and serves its group badly.
     Transfer(TransferCause),
+    /// The leader of a synchronous group answers, and an order may still promote another member.
+    Unsettled,
 }
 
 impl FailoverCause {
@@ -45,6 +48,7 @@
             FailoverCause::NoLeader => "no_leader",
             FailoverCause::Transfer(TransferCause::Lagging) => "lagging",
             FailoverCause::Transfer(TransferCause::Impaired) => "impaired",
+            FailoverCause::Unsettled => "unsettled",
         }
     }
 
@@ -71,11 +75,14 @@
         let clock = Rc::clone(&self.borders.clock);
         let mut pending: Option<(FailoverCause, Instant)> = None;
         let mut next_verdict_log: Option<Instant> = None;
+        let mut claim_reading = ClaimReading::default();
         loop {
             let changed = self.group.listen();
+            claim_reading.run_if_due(&self).await;
             // The check follows whether or not something changed.
             let is_calm = self.group.responsive_leader().is_some_and(|it| !it.spec().leaving)
-                && !self.has_leader_reports();
+                && !self.has_leader_reports()
+                && !self.needs_settlement();
             let interval = if is_calm { CALM_CHECK_INTERVAL } else { CHECK_INTERVAL };
             let _ = within(&*clock, clock.now() + interval, changed).await;
             if self.group.is_ended() {
@@ -127,7 +134,10 @@
                 self.is_agreed(Some(&leader.member)).then_some(FailoverCause::Dark)
             }
             Some(target) if target.spec().leaving => Some(FailoverCause::Leaves),
-            Some(_) => self.transfer_verdict().map(|it| FailoverCause::Transfer(it.cause)),
+            Some(_) => {
+                let transfer = self.transfer_verdict().map(|it| FailoverCause::Transfer(it.cause));
+                transfer.or(self.needs_settlement().then_some(FailoverCause::Unsettled))
+            }
         }
     }
 
@@ -177,38 +187,51 @@
             }
         };
         let previous = current.as_ref().and_then(|it| it.claim.as_ref());
-        let candidate = match successor {
-            Some(successor) => Some(successor),
-            None => self.select_candidate(cause, began, previous).await,
-        };
-        let Some(candidate) = candidate else {
-            clock.sleep_until(clock.now() + CHECK_INTERVAL).await;
-            return;
+        let candidate = match (successor, cause) {
+            (Some(successor), _) => Some(successor),
+            (None, FailoverCause::Unsettled) => None,
+            (None, _) => self.select_candidate(cause, began, previous).await,
         };
-        let over = current.as_ref().map(|it| it.token);
-        if let (Some(token), Some(claim)) = (over, previous) {
-            self.group.claims().record_observed(token, claim.holder.clone(), clock.boot_now());
-            if !self.can_act() {
-                log::info!(group = self.group.name.as_str(), holder = claim.holder.as_str(), token = token.0; "G0761 a running instance holds the claim; waiting for it to act");
+        let (cause, candidate) = match (candidate, self.present_leader()) {
+            (Some(candidate), _) => (cause, candidate),
+            (None, Some(leader)) if self.needs_settlement() => (FailoverCause::Unsettled, leader),
+            (None, _) => {
+                clock.sleep_until(clock.now() + CHECK_INTERVAL).await;
                 return;
             }
+        };
+        let over = current.as_ref().map(|it| it.token);
+        self.record_current_claim(current.as_ref());
+        if let (Some(token), Some(claim)) = (over, previous)
+            && !self.can_act()
+        {
+            log::info!(group = self.group.name.as_str(), holder = claim.holder.as_str(), token = token.0; "G0761 a running instance holds the claim; waiting for it to act");
+            return;
+        }
+        let was_settled = self.group.is_settled();
+        if was_settled && cause == FailoverCause::Unsettled {
+            return;
         }
         let claim = Claim {
             holder: self.own.clone(),
             member: candidate.member.clone(),
             nonce: format!("{:016x}", self.borders.entropy.next_u64()),
-            over_term: self.group.newest_term(),
+            over_term: self.superseded_term(cause),
         };
-        log::info!(group = self.group.name.as_str(), member = claim.member.as_str(), cause:? = cause, point:? = candidate.point, leader:? = self.group.newest_position_sample().map(|it| it.point); "G0715 a group needs another leader");
-        let Some(token) = self.obtain_claim(cause, &claim, over).await else { return };
-        if cause.is_transfer() && !self.prepare_transfer(cause, &candidate.member, token).await {
-            return;
+        if cause == FailoverCause::Unsettled {
+            log::info!(group = self.group.name.as_str(), member = claim.member.as_str(); "G0796 an order may still promote another member; the present leader is ordered, so that it can't");
+        } else {
+            log::info!(group = self.group.name.as_str(), member = claim.member.as_str(), cause:? = cause, point:? = candidate.point, leader:? = self.group.newest_position_sample().map(|it| it.point); "G0715 a group needs another leader");
         }
-        if self.failover_cause().is_none() {
-            log::info!(group = self.group.name.as_str(); "G0716 no other leader is needed any more; no promotion is ordered");
+        let Some(token) = self.obtain_claim(cause, &claim, over).await else { return };
+        if !self.prepare_order(cause, &candidate, previous, token).await {
+            if was_settled {
+                // No order was sent under this claim.
+                self.group.record_settled(token);
+            }
             return;
         }
-        let ordered = self.order_promotion(&claim, token).await;
+        let ordered = self.order_promotion(cause, &claim, token).await;
         // While an act is recent, commits are confirmed only by all members. If the answer was late and the member leads
         // already, that would hold back its commits.
         if !self.group.is_leader(&claim.member) {
@@ -222,18 +245,27 @@
             Ok(()) => {
                 self.borders.stats.promotion("ordered");
                 self.borders.stats.promotion_cause(cause.label());
-                if !cause.is_transfer() {
+                if !cause.is_transfer() && cause != FailoverCause::Unsettled {
                     self.count_rolled_back(&candidate);
                 }
                 log::info!(group = self.group.name.as_str(), member = claim.member.as_str(), token = token.0; "G0717 a promotion has been ordered");
                 self.wait_for_leader(&claim.member).await;
+                if self.group.is_leader(&claim.member) {
+                    // The platform refuses all orders with a lower token from now on, and one that is carried out again
+                    // with this token changes nothing.
+                    self.group.record_settled(token);
+                }
             }
             Err(PromoteError::NoAnswer(reason)) => {
                 self.borders.stats.promotion("unanswered");
                 self.borders.stats.promotion_cause(cause.label());
                 // The order may still be carried out. A repeated order has no further effect.
                 log::warn!(group = self.group.name.as_str(), token = token.0, reason = reason.as_str(); "G0718 the platform did not answer the order of a promotion");
-                self.wait_for_leader(&claim.member).await;
+                self.wait_until(|| {
+                    self.group.is_leader(&claim.member)
+                        || self.failover_cause() == Some(FailoverCause::Unsettled)
+                })
+                .await;
             }
             Err(err) => {
                 self.borders.stats.promotion("refused");
@@ -248,6 +280,7 @@
     /// used. Without the repetition, a lost order would leave the group without a leader until the next claim.
     async fn order_promotion(
         &self,
+        cause: FailoverCause,
         claim: &Claim,
         token: FencingToken,
     ) -> Result<(), PromoteError> {
@@ -257,8 +290,7 @@
             let ordered = self.borders.promoter.promote(&self.group.name, claim, token).await;
             let Err(PromoteError::NoAnswer(reason)) = &ordered else { return ordered };
             // Meanwhile a leader may have answered, or another instance may have acted.
-            if attempts == MAX_ORDER_ATTEMPTS || self.failover_cause().is_none() || !self.can_act()
-            {
+            if attempts == MAX_ORDER_ATTEMPTS || !self.is_needed(cause) || !self.can_act() {
                 return ordered;
             }
             log::info!(group = self.group.name.as_str(), token = token.0, reason = reason.as_str(), tries = attempts; "G0759 the platform did not answer the order of a promotion; it is repeated");
@@ -266,6 +298,14 @@
         }
     }
 
+    /// Whether an order is still needed that was begun because of `cause`. A leader that answers again needs no successor,
+    /// although earlier orders may have to be made void.
+    pub(crate) fn is_needed(&self, cause: FailoverCause) -> bool {
+        let current = self.failover_cause();
+        let is_settlement = |it: FailoverCause| it == FailoverCause::Unsettled;
+        current.is_some_and(|it| is_settlement(it) == is_settlement(cause))
+    }
+
     /// Records that this instance acts with `token`. Heartbeats report it to the others, which then wait for the
     /// lease to end.
     pub(crate) fn record_act(&self, token: FencingToken) {
@@ -286,6 +326,13 @@
         }
     }
 
+    /// The newest term that an order because of `cause` supersedes. An order of the present leader begins no term, so
+    /// later candidates need a log that reaches into the leader's own term.
+    fn superseded_term(&self, cause: FailoverCause) -> Term {
+        let newest = self.group.newest_term();
+        if cause == FailoverCause::Unsettled { Term(newest.0.saturating_sub(1)) } else { newest }
+    }
+
     /// Obtains the claim and returns its token; `None` if another instance holds it or the store failed.
     async fn obtain_claim(
         &self,
--- a/crates/gullspar_direct/src/groups/failover_timing.rs
+++ b/crates/gullspar_direct/src/groups/failover_timing.rs
@@ -64,3 +64,10 @@
 
 /// Minimum time between two log lines about a group whose leader role is worth transferring; the verdict may come and go.
 pub(crate) const VERDICT_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time from the claim of a failover to its order, in which the other homes must learn of the claim. Covers the time after
+/// which a home that has stopped counts as silent.
+pub(crate) const FAILOVER_PREPARATION_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Delay before a group's claim is read again after the store failed.
+pub(crate) const CLAIM_READ_RETRY_DELAY: Duration = Duration::from_secs(1);
--- a/crates/gullspar_direct/src/groups/group.rs
+++ b/crates/gullspar_direct/src/groups/group.rs
@@ -15,7 +15,10 @@
 use crate::groups::received_reports::ReceivedReports;
 use crate::groups::usual_durations::{StatementKind, UsualDurations};
 use crate::targets::target::Target;
-use crate::{ClaimTracker, GroupView, LeaderHealth, LeaderReport, PositionSample, PositionSamples};
+use crate::{
+    ClaimTracker, FencingToken, GroupView, LeaderHealth, LeaderReport, PositionSample,
+    PositionSamples,
+};
 
 /// A replica lags if it lacks what the leader had this long ago.
 ///
@@ -64,6 +67,11 @@
     transferred_at: Cell<Option<BootInstant>>,
     acknowledged: RefCell<AcknowledgedCommits>,
     claims: RefCell<ClaimTracker>,
+    /// Whether members acknowledge a commit only once a replica has received it. Such a group promotes only a member
+    /// that has all acknowledged commits.
+    is_synchronous: Cell<bool>,
+    /// Whether a member was removed that an order may still make the leader.
+    has_lost_successor: Cell<bool>,
     /// How long a replica typically needs to receive a commit, in microseconds.
     typical_lag_us: Cell<u64>,
     /// When replicas are no longer considered too far behind for writes to wait for them.
@@ -100,6 +108,8 @@
             transferred_at: Cell::new(None),
             acknowledged: RefCell::default(),
             claims: RefCell::new(ClaimTracker::new(lease)),
+            is_synchronous: Cell::new(false),
+            has_lost_successor: Cell::new(false),
             typical_lag_us: Cell::new(0),
             lagging_until: Cell::new(None),
             connection_limit_hit_at: Cell::new(None),
@@ -120,6 +130,7 @@
         if let Some(target) = self.targets.borrow_mut().remove(member) {
             target.removed.set(true);
             target.pool.close();
+            self.has_lost_successor.set(self.has_lost_successor.get() || !self.is_settled());
         }
         self.notify();
     }
@@ -469,6 +480,57 @@
         self.claims.borrow().has_act_after(since)
     }
 
+    pub(crate) fn is_synchronous(&self) -> bool {
+        self.is_synchronous.get()
+    }
+
+    pub(crate) fn set_synchronous(&self, is_synchronous: bool) {
+        if self.is_synchronous.replace(is_synchronous) != is_synchronous {
+            log::info!(group = self.name.as_str(), synchronous = is_synchronous; "G0794 a group's commits must be received by a replica, or need not any more");
+            self.notify();
+        }
+    }
+
+    /// Whether no order to promote a member can make another one the leader any more, as far as this instance knows.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.claims.borrow().is_settled()
+    }
+
+    /// Records that no order under `token`, or under an older claim, can make another member the leader any more.
+    pub(crate) fn record_settled(&self, token: FencingToken) {
+        let mut claims = self.claims.borrow_mut();
+        let was_settled = claims.is_settled();
+        let known = claims.settled();
+        claims.record_settled(token);
+        let (is_settled, is_new) = (claims.is_settled(), claims.settled() != known);
+        drop(claims);
+        if is_settled && !was_settled && self.is_synchronous() {
+            self.has_lost_successor.set(false);
+            log::info!(group = self.name.as_str(), token = token.0; "G0795 no earlier order can change a group's leader any more");
+            self.notify_progress();
+        }
+        if is_new {
+            self.notify();
+        }
+    }
+
+    /// Records that the store has never held a claim for the group.
+    pub(crate) fn record_unclaimed(&self) {
+        self.claims.borrow_mut().record_unclaimed();
+        self.notify_progress();
+        self.notify();
+    }
+
+    /// Records that an order may still promote a member that is not listed.
+    pub(crate) fn record_lost_successor(&self) {
+        self.has_lost_successor.set(true);
+    }
+
+    /// Whether an order may still promote a member that is not listed, so that nothing is known about its log.
+    pub(crate) fn has_lost_successor(&self) -> bool {
+        self.has_lost_successor.get()
+    }
+
     /// The view of this group to send to other instances.
     pub(crate) fn view(
         &self,
--- a/crates/gullspar_direct/src/groups/leader_transfer.rs
+++ b/crates/gullspar_direct/src/groups/leader_transfer.rs
@@ -112,7 +112,7 @@
     }
 
     /// Waits until no other instance can acknowledge a commit that only the leader has.
-    async fn wait_until_informed(&self, token: FencingToken, deadline: Instant) -> bool {
+    pub(crate) async fn wait_until_informed(&self, token: FencingToken, deadline: Instant) -> bool {
         let clock = &self.borders.clock;
         let mut sufficient_since = None;
         while clock.now() < deadline && self.group.claims().token() == Some(token) {
--- /dev/null
+++ b/crates/gullspar_direct/src/groups/settlement.rs
@@ -0,0 +1,93 @@
+//! Makes sure that no order of a promotion is carried out any more once its group needs no other leader.
+//!
+//! An order without an answer may be carried out seconds later. The reasons and the order of steps are in
+//! `docs/design/promotion.md`.
+
+use std::time::Instant;
+
+use gullspar_model::InstanceId;
+
+use crate::groups::candidate::Candidate;
+use crate::groups::failover::{FailoverCause, FailoverCoordinator};
+use crate::groups::failover_timing::FAILOVER_PREPARATION_TIMEOUT;
+use crate::{Claim, CurrentClaim, FencingToken};
+
+impl FailoverCoordinator {
+    /// Whether the leader of a synchronous group answers, and an order may still make another member the leader.
+    pub(crate) fn needs_settlement(&self) -> bool {
+        self.group.is_synchronous()
+            && !self.group.is_settled()
+            && self.group.responsive_leader().is_some()
+    }
+
+    /// The leader of the group, as the member of a claim; `None` if it does not answer.
+    pub(crate) fn present_leader(&self) -> Option<Candidate> {
+        let leader = self.group.responsive_leader()?;
+        Some(Candidate { member: leader.member(), point: leader.point() })
+    }
+
+    /// Records what the store holds as the claim of the group.
+    pub(crate) fn record_current_claim(&self, current: Option<&CurrentClaim>) {
+        let Some(CurrentClaim { token, claim }) = current else {
+            self.group.record_unclaimed();
+            return;
+        };
+        // An object that is no claim was written by nobody who gives orders.
+        let holder: InstanceId = claim.as_ref().map_or(self.own.clone(), |it| it.holder.clone());
+        let now = self.borders.clock.boot_now();
+        self.group.claims().record_observed(*token, holder, now);
+        let is_listed = claim.as_ref().is_none_or(|it| self.group.target(&it.member).is_some());
+        if !is_listed && !self.group.is_settled() {
+            self.group.record_lost_successor();
+        }
+    }
+
+    /// Prepares the order of a promotion under the claim with `token`; returns whether it may be sent.
+    pub(crate) async fn prepare_order(
+        &self,
+        cause: FailoverCause,
+        candidate: &Candidate,
+        previous: Option<&Claim>,
+        token: FencingToken,
+    ) -> bool {
+        let is_prepared = match cause {
+            FailoverCause::Unsettled => true,
+            FailoverCause::Transfer(_) => {
+                self.prepare_transfer(cause, &candidate.member, token).await
+            }
+            _ if !self.group.is_synchronous() => true,
+            FailoverCause::Leaves => self.prepare_transfer(cause, &candidate.member, token).await,
+            _ => self.prepare_failover(cause, candidate, previous, token).await,
+        };
+        if is_prepared && !self.is_needed(cause) {
+            log::info!(group = self.group.name.as_str(); "G0716 no other leader is needed any more; no promotion is ordered");
+            return false;
+        }
+        is_prepared
+    }
+
+    /// Makes sure that no home acknowledges a commit any more that `candidate` lacks; returns whether that is so.
+    async fn prepare_failover(
+        &self,
+        cause: FailoverCause,
+        candidate: &Candidate,
+        previous: Option<&Claim>,
+        token: FencingToken,
+    ) -> bool {
+        let began = self.borders.clock.now();
+        let deadline: Instant = began + FAILOVER_PREPARATION_TIMEOUT;
+        // From now on, this instance and those that learn of the claim hold commits back.
+        self.record_act(token);
+        let reason = if !self.wait_until_informed(token, deadline).await {
+            "not_all_homes_informed"
+        } else {
+            match self.select_candidate(cause, began, previous).await {
+                Some(selected) if selected.member == candidate.member => return true,
+                Some(_) => "another_candidate",
+                None => "no_candidate",
+            }
+        };
+        log::warn!(group = self.group.name.as_str(), member = candidate.member.as_str(), token = token.0, reason = reason; "G0798 a failover is prepared again");
+        false
+    }
+}
--- a/crates/gullspar_direct/src/lib.rs
+++ b/crates/gullspar_direct/src/lib.rs
@@ -33,6 +33,7 @@
 pub use groups::claims::{
     Claim, ClaimError, Claims, CurrentClaim, FencingToken, PromoteError, Promoter,
 };
+pub use groups::commit_report::{CommitReport, CommitReports};
 pub use groups::group::{Group, Leader};
 pub use groups::leader_report::{LeaderReport, LeaderReports};
 pub use groups::transfer_decision::{
--- a/crates/gullspar_direct/src/writing/confirmation.rs
+++ b/crates/gullspar_direct/src/writing/confirmation.rs
@@ -40,6 +40,10 @@
 /// Time in which the other instances learn of a new leader. Until then, writes are sent and wait for their confirmation.
 const NEW_LEADER_PERIOD: Duration = Duration::from_secs(1);
 
+/// How long writes are sent although an order may still make another member the leader and a member doesn't answer. Most
+/// claims are settled within this time.
+const SETTLEMENT_PERIOD: Duration = Duration::from_millis(500);
+
 /// Interval between checks of whether a commit that only its leader has may be acknowledged.
 const LEADER_ONLY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -123,6 +127,10 @@
     /// Whether the commit of a write that is sent to the leader now could be acknowledged.
     pub(crate) fn can_confirm_commits(&self, group: &Group) -> bool {
         let now = self.borders.clock.boot_now();
+        if group.is_synchronous() && !group.is_settled() {
+            let is_recent = group.claims().is_unsettled_since(now.minus(SETTLEMENT_PERIOD));
+            return is_recent || can_all_successors_answer(group);
+        }
         let (candidates, others) = (successor_candidates(group), other_members(group));
         let can_be_replicated =
             match self.is_leader_confirmed(group, now) || group.led_for(now) < NEW_LEADER_PERIOD {
@@ -154,8 +162,16 @@
         if group.newest_term() > point.term {
             return Some(CommitStatus::Superseded);
         }
+        let must_wait_for_settlement = group.is_synchronous() && !group.is_settled();
         if !group.is_leader(&commit.leader) {
-            return status_with_successor(group, point);
+            let status = status_with_successor(group, point)?;
+            let is_decided = status == CommitStatus::Superseded
+                || !must_wait_for_settlement
+                || all_successors_have(group, point);
+            return is_decided.then_some(status);
+        }
+        if must_wait_for_settlement {
+            return all_successors_have(group, point).then_some(CommitStatus::Replicated);
         }
         // Any of the replicas may replace a leaving leader, so all of them need the commit. Another instance that replaces
         // the leader may also promote a member that does not answer here.
@@ -198,7 +214,9 @@
         } else {
             started
         };
-        !group.may_be_replaced(now)
+        let may_be_replaced =
+            group.may_be_replaced(now) || group.is_synchronous() && !group.is_settled();
+        !may_be_replaced
             && self.peers.views.is_leader_confirmed(&group.name, &leader.member, views_since, now)
     }
 
@@ -229,6 +247,19 @@
     !targets.is_empty() && targets.iter().all(|it| it.has_commit(point))
 }
 
+/// Whether each member that an outstanding order may promote has the commit at `point`. Which one an order names is not
+/// known for each claim, so all members need the commit.
+fn all_successors_have(group: &Group, point: LogPoint) -> bool {
+    !group.has_lost_successor() && have_all(&other_members(group), point)
+}
+
+/// Whether each member that an outstanding order may promote answers, so that a commit can be confirmed.
+fn can_all_successors_answer(group: &Group) -> bool {
+    let others = other_members(group);
+    let can_answer = |it: &Rc<Target>| !it.is_unresponsive() && it.has_responded();
+    !group.has_lost_successor() && !others.is_empty() && others.iter().all(can_answer)
+}
+
 /// All listed members but the leader.
 fn other_members(group: &Group) -> Vec<Rc<Target>> {
     group.targets().into_iter().filter(|it| !group.is_leader(&it.member())).collect()
@@ -250,7 +281,11 @@
 /// While the leader is being replaced, they are also asked what they have received: replicas that apply commits late
 /// would otherwise confirm nothing until the new leader is known.
 fn poll_replicas(borders: &Borders, group: &Rc<Group>, point: LogPoint) {
-    for target in successor_candidates(group).into_iter().filter(|it| !it.has_commit(point)) {
+    let polled = match group.is_synchronous() {
+        true => other_members(group),
+        false => successor_candidates(group),
+    };
+    for target in polled.into_iter().filter(|it| !it.has_commit(point)) {
         if target.is_polled.replace(true) {
             continue;
         }
--- a/crates/gullspar_direct/tests/knowledge.rs
+++ b/crates/gullspar_direct/tests/knowledge.rs
@@ -317,3 +317,22 @@
         "the lease of an instance that is gone does not count"
     );
 }
+
+/// Guards against taking an order for void because of time, of an older claim's settlement, or of having heard of none.
+#[test]
+fn a_claim_is_settled_only_by_news_of_its_own_or_a_later_settlement() {
+    let mut claims = ClaimTracker::new(Duration::from_secs(3));
+    assert!(!claims.is_settled(), "nothing is known yet");
+    claims.record_unclaimed();
+    assert!(claims.is_settled());
+    claims.record_act(FencingToken(4), InstanceId::new("a"), at(0));
+    claims.record_act(FencingToken(5), InstanceId::new("b"), at(100));
+    claims.record_settled(FencingToken(4));
+    assert!(!claims.is_settled(), "the newest claim is open");
+    assert!(claims.is_unsettled_since(at(0)) && !claims.is_unsettled_since(at(1)));
+    claims.record_settled(FencingToken(5));
+    claims.record_act(FencingToken(5), InstanceId::new("b"), at(60_000));
+    assert!(claims.is_settled());
+    claims.record_settled(FencingToken(4));
+    assert!(claims.is_settled());
+}
--- a/crates/gullspar_direct/tests/partitioned_data_centre.rs
+++ b/crates/gullspar_direct/tests/partitioned_data_centre.rs
@@ -197,7 +197,9 @@
     for service in MORE_SERVICES {
         let mut route = latest.clone();
         route.group = service.into();
-        catalogue.groups.insert(service.into(), GroupLimits { connections: CONNECTIONS });
+        catalogue
+            .groups
+            .insert(service.into(), GroupLimits { connections: CONNECTIONS, sync_replicas: 0 });
         catalogue.routes.insert(service.into(), route);
         world.more_groups.push(FakeGroup::with_member_prefix(service, service, 3));
     }
--- a/crates/gullspar_direct/tests/restarted.rs
+++ b/crates/gullspar_direct/tests/restarted.rs
@@ -107,7 +107,7 @@
         assert_eq!(world.group.connections(1), 0);
         // Once the group is configured, its targets are used.
         let configured: Catalogue = catalogue(2);
-        let limits = GroupLimits { connections: 60 };
+        let limits = GroupLimits { connections: 60, sync_replicas: 0 };
         let groups = configured.groups.into_iter().chain([(GroupName::new("nobody's"), limits)]);
         proxy.directory.apply_catalogue(Catalogue { groups: groups.collect(), ..configured });
         pause(200).await;
--- a/crates/gullspar_direct/tests/support/mod.rs
+++ b/crates/gullspar_direct/tests/support/mod.rs
@@ -190,6 +190,17 @@
         proxies
     }
 
+    /// Like [`World::instances`], for a group whose members acknowledge a commit only once a replica has received it.
+    pub async fn synchronous_instances(&self, count: u16) -> Vec<Rc<Proxy>> {
+        let start = |it| self.instance_with_catalogue(it, synchronous_catalogue(1));
+        let proxies: Vec<Rc<Proxy>> = (1..=count).map(start).collect();
+        for proxy in &proxies {
+            self.wait_for_leader(proxy).await;
+        }
+        pause(STARTUP_PERIOD_MS).await;
+        proxies
+    }
+
     /// Starts an instance for each of `members` at once. All are registered already, and the fleet may open
     /// `connections` to each target.
     pub fn fleet(&self, members: &[Member], connections: u32) -> Vec<Rc<Proxy>> {
@@ -278,7 +289,14 @@
 /// The default configuration with this maximum of connections to each member.
 pub fn catalogue_with_connections(version: u64, connections: u32) -> Catalogue {
     let mut catalogue = catalogue(version);
-    catalogue.groups.insert(GROUP.into(), GroupLimits { connections });
+    catalogue.groups.insert(GROUP.into(), GroupLimits { connections, sync_replicas: 0 });
+    catalogue
+}
+
+/// The default configuration, with members that acknowledge a commit only once a replica has received it.
+pub fn synchronous_catalogue(version: u64) -> Catalogue {
+    let mut catalogue = catalogue(version);
+    catalogue.groups.values_mut().for_each(|it| it.sync_replicas = 1);
     catalogue
 }
 
@@ -297,10 +315,11 @@
         (ServiceName::new(BOUNDED), route(Freshness::MaxAge { ms: MAX_AGE_MS })),
         (ServiceName::new(OWN_WRITES), route(Freshness::OwnWrites { max_age_ms: MAX_AGE_MS })),
     ];
+    let limits = GroupLimits { connections: 60, sync_replicas: 0 };
     Catalogue {
         version,
         routes: routes.into_iter().collect(),
-        groups: [(GroupName::new(GROUP), GroupLimits { connections: 60 })].into_iter().collect(),
+        groups: [(GroupName::new(GROUP), limits)].into_iter().collect(),
         transaction_idle_ms: TRANSACTION_IDLE_TIMEOUT_MS,
         customers: None,
     }
