Acknowledge a commit only once every member that may lead next has it

A replica was being replaced, another one received nothing, and the leader failed: the member's own answer to a commit came from the leaving replica, and another member, without the commit, was promoted.

Now `groups/successors.rs` says which members may lead next, and both sides ask it. A commit of a synchronous group is acknowledged once a replica that stays has it, or all members while an order may be on its way; no time makes it acknowledged on the leader alone. Homes report their newest acknowledged commit once they know of a claim. If all have, a member that has it is promoted, one that stays if there is one; otherwise all listed members must tell where their logs end, and the longest is promoted, also a leaving one, which hands over again. While no replica that stays receives commits, writes are refused at once. Groups without `syncReplicas` are served as before.

--- a/crates/gullspar_direct/src/fleet/commit_reports.rs
+++ b/crates/gullspar_direct/src/fleet/commit_reports.rs
@@ -6,7 +6,6 @@
 use gullspar_border::BootInstant;
 use gullspar_model::GroupName;
 
-use crate::groups::group::Group;
 use crate::{CommitReport, CommitReports, PeerMessage, Proxy};
 
 /// Interval at which unchanged reports are repeated, for instances that have just started and for lost datagrams.
@@ -28,9 +27,11 @@
         let now = self.borders.clock.boot_now();
         let is_due = sent.at.is_none_or(|it| now.since(it) >= REPEAT_INTERVAL);
         let groups = self.groups();
-        let reports: Vec<CommitReport> =
-            groups.iter().filter(|it| it.is_synchronous()).map(|it| it.commit_report()).collect();
-        let is_new = |it: &&CommitReport| is_due || sent.reports.get(&it.group) != Some(*it);
+        let synchronous = groups.iter().filter(|it| it.is_synchronous());
+        let reports: Vec<CommitReport> = synchronous.map(|it| it.commit_report(now)).collect();
+        let is_new = |it: &&CommitReport| {
+            is_due || sent.reports.get(&it.group).is_none_or(|old| it.has_news_since(old))
+        };
         let due: Vec<&CommitReport> = reports.iter().filter(is_new).collect();
         if !due.is_empty() {
             for address in self.peers.group_peers(|_| true) {
@@ -57,21 +58,8 @@
     pub(crate) fn apply_commit_reports(&self, reports: CommitReports) {
         for report in reports.reports.into_iter().take(MAX_REPORTS) {
             if let Some(group) = self.group(&report.group) {
-                group.apply_commit_report(&report);
+                group.apply_commit_report(reports.from.clone(), report);
             }
         }
     }
 }
-
-impl Group {
-    /// What this instance reports about the group.
-    fn commit_report(&self) -> CommitReport {
-        CommitReport { group: self.name.clone(), settled: self.claims().settled() }
-    }
-
-    fn apply_commit_report(&self, report: &CommitReport) {
-        if let Some(token) = report.settled {
-            self.record_settled(token);
-        }
-    }
-}
--- a/crates/gullspar_direct/src/fleet/home_groups.rs
+++ b/crates/gullspar_direct/src/fleet/home_groups.rs
@@ -226,7 +226,8 @@
         if let Some(group) = self.group(name) {
             return group;
         }
-        let group = Group::new(name.clone(), self.borders.clock.now(), self.own.claim_lease);
+        let clock = &self.borders.clock;
+        let group = Group::new(name.clone(), clock.now(), clock.boot_now(), self.own.claim_lease);
         self.groups.borrow_mut().insert(name.clone(), Rc::clone(&group));
         let coordinator = failover::FailoverCoordinator {
             borders: self.borders.clone(),
--- a/crates/gullspar_direct/src/fleet/views.rs
+++ b/crates/gullspar_direct/src/fleet/views.rs
@@ -78,6 +78,11 @@
         })
     }
 
+    /// Ids of the instances that monitor `group` or did so recently, including those that are leaving or silent.
+    pub(crate) fn recent_monitors(&self, group: &GroupName, now: BootInstant) -> Vec<InstanceId> {
+        self.select_monitors(group, now, DEAD_COUNTED_PERIOD, |it, _| Some(it.from().clone()))
+    }
+
     /// Addresses of the instances that monitor `group`.
     pub(crate) fn monitoring_addresses(
         &self,
--- a/crates/gullspar_direct/src/groups/failover.rs
+++ b/crates/gullspar_direct/src/groups/failover.rs
@@ -16,6 +16,7 @@
     VERDICT_LOG_INTERVAL,
 };
 use crate::groups::group::Group;
+use crate::groups::settlement::Preparation;
 use crate::{
     Borders, Claim, ClaimError, FencingToken, PeerTable, Phase, PromoteError, Shutdown,
     TransferCause, TransferJudge, Verdict, VoteTally,
@@ -192,7 +193,7 @@
             (None, FailoverCause::Unsettled) => None,
             (None, _) => self.select_candidate(cause, began, previous).await,
         };
-        let (cause, candidate) = match (candidate, self.present_leader()) {
+        let (cause, mut candidate) = match (candidate, self.present_leader()) {
             (Some(candidate), _) => (cause, candidate),
             (None, Some(leader)) if self.needs_settlement() => (FailoverCause::Unsettled, leader),
             (None, _) => {
@@ -212,24 +213,31 @@
         if was_settled && cause == FailoverCause::Unsettled {
             return;
         }
-        let claim = Claim {
-            holder: self.own.clone(),
-            member: candidate.member.clone(),
-            nonce: format!("{:016x}", self.borders.entropy.next_u64()),
-            over_term: self.superseded_term(cause),
-        };
+        let mut claim = self.new_claim(cause, &candidate);
         if cause == FailoverCause::Unsettled {
             log::info!(group = self.group.name.as_str(), member = claim.member.as_str(); "G0796 an order may still promote another member; the present leader is ordered, so that it can't");
         } else {
             log::info!(group = self.group.name.as_str(), member = claim.member.as_str(), cause:? = cause, point:? = candidate.point, leader:? = self.group.newest_position_sample().map(|it| it.point); "G0715 a group needs another leader");
         }
-        let Some(token) = self.obtain_claim(cause, &claim, over).await else { return };
-        if !self.prepare_order(cause, &candidate, previous, token).await {
-            if was_settled {
-                // No order was sent under this claim.
-                self.group.record_settled(token);
+        let Some(mut token) = self.obtain_claim(cause, &claim, over).await else { return };
+        loop {
+            match self.prepare_order(cause, &candidate, previous, token).await {
+                Preparation::Ready => break,
+                Preparation::Claim(chosen) => {
+                    candidate = chosen;
+                    claim = self.new_claim(cause, &candidate);
+                    let claimed = self.obtain_claim(cause, &claim, Some(token)).await;
+                    let Some(claimed) = claimed else { return };
+                    token = claimed;
+                }
+                Preparation::GivenUp => {
+                    if was_settled {
+                        // No order was sent under this claim.
+                        self.group.record_settled(token);
+                    }
+                    return;
+                }
             }
-            return;
         }
         let ordered = self.order_promotion(cause, &claim, token).await;
         // While an act is recent, commits are confirmed only by all members. If the answer was late and the member leads
@@ -245,7 +253,7 @@
             Ok(()) => {
                 self.borders.stats.promotion("ordered");
                 self.borders.stats.promotion_cause(cause.label());
-                if !cause.is_transfer() && cause != FailoverCause::Unsettled {
+                if !cause.is_transfer() && !self.group.is_synchronous() {
                     self.count_rolled_back(&candidate);
                 }
                 log::info!(group = self.group.name.as_str(), member = claim.member.as_str(), token = token.0; "G0717 a promotion has been ordered");
@@ -326,6 +334,15 @@
         }
     }
 
+    fn new_claim(&self, cause: FailoverCause, candidate: &Candidate) -> Claim {
+        Claim {
+            holder: self.own.clone(),
+            member: candidate.member.clone(),
+            nonce: format!("{:016x}", self.borders.entropy.next_u64()),
+            over_term: self.superseded_term(cause),
+        }
+    }
+
     /// The newest term that an order because of `cause` supersedes. An order of the present leader begins no term, so
     /// later candidates need a log that reaches into the leader's own term.
     fn superseded_term(&self, cause: FailoverCause) -> Term {
--- a/crates/gullspar_direct/src/groups/group.rs
+++ b/crates/gullspar_direct/src/groups/group.rs
@@ -7,17 +7,20 @@
 
 use event_listener::{Event, EventListener};
 use gullspar_border::BootInstant;
+use gullspar_membership::DEAD_COUNTED_PERIOD;
 use gullspar_model::{GroupName, InstanceId, LogPoint, MemberName, Term};
 
 use crate::groups::acknowledged_commits::AcknowledgedCommits;
+use crate::groups::commit_report::{CommitReport, ReceivedCommitReports};
 use crate::groups::failover_timing;
 use crate::groups::leader_load::{LeaderLoad, RequestEnd};
 use crate::groups::received_reports::ReceivedReports;
+use crate::groups::successors::Successors;
 use crate::groups::usual_durations::{StatementKind, UsualDurations};
 use crate::targets::target::Target;
 use crate::{
-    ClaimTracker, FencingToken, GroupView, LeaderHealth, LeaderReport, PositionSample,
-    PositionSamples,
+    ClaimTracker, FencingToken, GroupView, LeaderHealth, LeaderReport, NewestAcknowledged,
+    PositionSample, PositionSamples,
 };
 
 /// A replica lags if it lacks what the leader had this long ago.
@@ -43,6 +46,8 @@
 /// The state of a group as this instance sees it.
 pub struct Group {
     pub(crate) name: GroupName,
+    /// Since when this instance serves the group.
+    served_since: BootInstant,
     targets: RefCell<BTreeMap<MemberName, Rc<Target>>>,
     leader: RefCell<Option<Leader>>,
     /// The highest term in which a leader answered.
@@ -70,6 +75,12 @@
     /// Whether members acknowledge a commit only once a replica has received it. Such a group promotes only a member
     /// that has all acknowledged commits.
     is_synchronous: Cell<bool>,
+    /// The newest commit that this instance has acknowledged.
+    newest_acknowledged: Cell<Option<LogPoint>>,
+    /// What the other homes have acknowledged.
+    commit_reports: RefCell<ReceivedCommitReports>,
+    /// A commit that no replica has received in time.
+    stalled_at: Cell<Option<LogPoint>>,
     /// Whether a member was removed that an order may still make the leader.
     has_lost_successor: Cell<bool>,
     /// How long a replica typically needs to receive a commit, in microseconds.
@@ -89,9 +100,15 @@
 }
 
 impl Group {
-    pub(crate) fn new(name: GroupName, now: Instant, lease: Duration) -> Rc<Group> {
+    pub(crate) fn new(
+        name: GroupName,
+        now: Instant,
+        boot_now: BootInstant,
+        lease: Duration,
+    ) -> Rc<Group> {
         Rc::new(Group {
             name,
+            served_since: boot_now,
             targets: RefCell::default(),
             leader: RefCell::default(),
             newest_term: Cell::new(Term(0)),
@@ -109,6 +126,9 @@
             acknowledged: RefCell::default(),
             claims: RefCell::new(ClaimTracker::new(lease)),
             is_synchronous: Cell::new(false),
+            newest_acknowledged: Cell::new(None),
+            commit_reports: RefCell::default(),
+            stalled_at: Cell::new(None),
             has_lost_successor: Cell::new(false),
             typical_lag_us: Cell::new(0),
             lagging_until: Cell::new(None),
@@ -341,6 +361,56 @@
     /// Records that a commit was acknowledged.
     pub(crate) fn record_acknowledged(&self, point: LogPoint) {
         self.acknowledged.borrow_mut().record(point);
+        self.newest_acknowledged.set(self.newest_acknowledged.get().max(Some(point)));
+    }
+
+    /// What this instance reports to the other homes about claims and commits.
+    pub(crate) fn commit_report(&self, now: BootInstant) -> CommitReport {
+        let claims = self.claims.borrow();
+        CommitReport {
+            group: self.name.clone(),
+            claim: claims.token(),
+            settled: claims.settled(),
+            acknowledged: self.newest_acknowledged.get(),
+            is_complete: now.since(self.served_since) >= DEAD_COUNTED_PERIOD,
+        }
+    }
+
+    /// Applies a report of another home.
+    pub(crate) fn apply_commit_report(&self, from: InstanceId, report: CommitReport) {
+        if let Some(token) = report.settled {
+            self.record_settled(token);
+        }
+        self.commit_reports.borrow_mut().record(from, report);
+    }
+
+    /// The newest commit that this instance or one of `others` has acknowledged, as far as they know of the claim with
+    /// `token`.
+    pub(crate) fn newest_acknowledged(
+        &self,
+        others: &[InstanceId],
+        token: FencingToken,
+        now: BootInstant,
+    ) -> NewestAcknowledged {
+        let own = self.commit_report(now);
+        self.commit_reports.borrow_mut().newest_acknowledged(&own, others, token)
+    }
+
+    /// Records that no replica has received the commit at `point` in time.
+    pub(crate) fn record_stalled(&self, point: LogPoint) {
+        self.stalled_at.set(self.stalled_at.get().max(Some(point)));
+    }
+
+    /// Whether no replica receives what the leader commits, so that another commit could not be acknowledged either.
+    pub(crate) fn is_stalled(&self, successors: &Successors) -> bool {
+        let Some(point) = self.stalled_at.get() else { return false };
+        let leader = self.leader().and_then(|it| self.target(&it.member));
+        let is_on_leader = leader.is_some_and(|it| it.has_commit(point));
+        let is_stalled = is_on_leader && !successors.have(point);
+        if !is_stalled {
+            self.stalled_at.set(None);
+        }
+        is_stalled
     }
 
     /// Records a request whose last attempt was on `member`. It is displaced if replicas could have served it.
--- a/crates/gullspar_direct/src/groups/mod.rs
+++ b/crates/gullspar_direct/src/groups/mod.rs
@@ -18,6 +18,7 @@
 pub(crate) mod received_reports;
 pub(crate) mod recent_runs;
 pub(crate) mod settlement;
+pub(crate) mod successors;
 pub(crate) mod transfer_decision;
 pub(crate) mod usual_durations;
 pub(crate) mod votes;
--- a/crates/gullspar_direct/src/groups/settlement.rs
+++ b/crates/gullspar_direct/src/groups/settlement.rs
@@ -3,13 +3,11 @@
 //! An order without an answer may be carried out seconds later. The reasons and the order of steps are in
 //! `docs/design/promotion.md`.
 
-use std::time::Instant;
-
 use gullspar_model::InstanceId;
 
 use crate::groups::candidate::Candidate;
 use crate::groups::failover::{FailoverCause, FailoverCoordinator};
-use crate::groups::failover_timing::FAILOVER_PREPARATION_TIMEOUT;
+use crate::groups::failover_timing::{CHECK_INTERVAL, FAILOVER_PREPARATION_TIMEOUT};
 use crate::{Claim, CurrentClaim, FencingToken};
 
 impl FailoverCoordinator {
@@ -42,52 +40,73 @@
         }
     }
 
-    /// Prepares the order of a promotion under the claim with `token`; returns whether it may be sent.
+    /// Prepares the order of a promotion of `candidate` under the claim with `token`.
     pub(crate) async fn prepare_order(
         &self,
         cause: FailoverCause,
         candidate: &Candidate,
         previous: Option<&Claim>,
         token: FencingToken,
-    ) -> bool {
-        let is_prepared = match cause {
+    ) -> Preparation {
+        let is_ready = match cause {
             FailoverCause::Unsettled => true,
             FailoverCause::Transfer(_) => {
                 self.prepare_transfer(cause, &candidate.member, token).await
             }
             _ if !self.group.is_synchronous() => true,
             FailoverCause::Leaves => self.prepare_transfer(cause, &candidate.member, token).await,
-            _ => self.prepare_failover(cause, candidate, previous, token).await,
+            _ => match self.prepare_failover(cause, previous, token).await {
+                Some(chosen) if chosen.member != candidate.member => {
+                    return Preparation::Claim(chosen);
+                }
+                chosen => chosen.is_some(),
+            },
         };
-        if is_prepared && !self.is_needed(cause) {
+        if is_ready && !self.is_needed(cause) {
             log::info!(group = self.group.name.as_str(); "G0716 no other leader is needed any more; no promotion is ordered");
-            return false;
+            return Preparation::GivenUp;
         }
-        is_prepared
+        if is_ready { Preparation::Ready } else { Preparation::GivenUp }
     }
 
-    /// Makes sure that no home acknowledges a commit any more that `candidate` lacks; returns whether that is so.
+    /// Makes sure that no home acknowledges a commit any more that the next leader lacks; returns the member to promote.
     async fn prepare_failover(
         &self,
         cause: FailoverCause,
-        candidate: &Candidate,
         previous: Option<&Claim>,
         token: FencingToken,
-    ) -> bool {
-        let began = self.borders.clock.now();
-        let deadline: Instant = began + FAILOVER_PREPARATION_TIMEOUT;
+    ) -> Option<Candidate> {
+        let clock = &self.borders.clock;
+        let deadline = clock.now() + FAILOVER_PREPARATION_TIMEOUT;
         // From now on, this instance and those that learn of the claim hold commits back.
         self.record_act(token);
-        let reason = if !self.wait_until_informed(token, deadline).await {
-            "not_all_homes_informed"
-        } else {
-            match self.select_candidate(cause, began, previous).await {
-                Some(selected) if selected.member == candidate.member => return true,
-                Some(_) => "another_candidate",
-                None => "no_candidate",
+        let mut reason = "not_all_homes_informed";
+        if self.wait_until_informed(token, deadline).await {
+            let mut is_first = true;
+            reason = "no_candidate";
+            while clock.now() < deadline {
+                if !self.is_needed(cause) {
+                    reason = "recovered";
+                    break;
+                }
+                let chosen = self.choose_successor(previous, token, is_first).await;
+                if chosen.is_some() {
+                    return chosen;
+                }
+                is_first = false;
+                clock.sleep_until(clock.now() + CHECK_INTERVAL).await;
             }
-        };
-        log::warn!(group = self.group.name.as_str(), member = candidate.member.as_str(), token = token.0, reason = reason; "G0798 a failover is prepared again");
-        false
+        }
+        log::warn!(group = self.group.name.as_str(), token = token.0, reason = reason; "G0798 a failover is given up before its order");
+        None
     }
 }
+
+/// How the preparation of an order ended.
+pub(crate) enum Preparation {
+    /// The order may be sent.
+    Ready,
+    /// Another member must be promoted, and claimed before.
+    Claim(Candidate),
+    GivenUp,
+}
--- a/crates/gullspar_direct/src/lib.rs
+++ b/crates/gullspar_direct/src/lib.rs
@@ -36,6 +36,7 @@
 pub use groups::commit_report::{CommitReport, CommitReports};
 pub use groups::group::{Group, Leader};
 pub use groups::leader_report::{LeaderReport, LeaderReports};
+pub use groups::successors::{LogEnd, MemberLog, NewestAcknowledged, choose_successor};
 pub use groups::transfer_decision::{
     TransferCause, TransferInputs, TransferJudge, TransferVerdict,
 };
--- a/crates/gullspar_direct/src/writing/confirmation.rs
+++ b/crates/gullspar_direct/src/writing/confirmation.rs
@@ -1,8 +1,7 @@
 //! Delays the success of a write until a replica has received its commit.
 //!
-//! Replication is asynchronous: a leader answers a commit before any replica has it. If the leader fails before a
-//! replica has received the commit, the next leader lacks it and an acknowledged write is lost. The guarantees are
-//! described in `docs/promises.md`.
+//! A leader answers a commit before any replica has it, or once one has it that may not become the next leader. If the leader
+//! fails then, an acknowledged write is lost. The guarantees are described in `docs/promises.md`.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -11,6 +10,7 @@
 use gullspar_model::{LogPoint, MemberName};
 
 use crate::groups::group::Group;
+use crate::groups::successors::Successors;
 use crate::targets::received_point;
 use crate::targets::target::Target;
 use crate::targets::target_watch;
@@ -37,6 +37,10 @@
 /// How long one query for a received position may take while commits are held back.
 const RECEIVED_QUERY_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// How long a commit of a synchronous group waits until replicas are asked what they have received. Most commits are applied
+/// somewhere by then.
+const RECEIVED_QUERY_DELAY: Duration = Duration::from_millis(100);
+
 /// Time in which the other instances learn of a new leader. Until then, writes are sent and wait for their confirmation.
 const NEW_LEADER_PERIOD: Duration = Duration::from_secs(1);
 
@@ -44,6 +48,10 @@
 /// claims are settled within this time.
 const SETTLEMENT_PERIOD: Duration = Duration::from_millis(500);
 
+/// How long a commit of a synchronous group waits until replicas count as receiving nothing. Writes are refused from then on
+/// until one of them has it.
+const STALL_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Interval between checks of whether a commit that only its leader has may be acknowledged.
 const LEADER_ONLY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -76,6 +84,9 @@
         commit: &Commit,
         deadline: Instant,
     ) -> CommitStatus {
+        if group.is_synchronous() {
+            return self.confirm_synchronous_commit(group, commit, deadline).await;
+        }
         let clock = &self.borders.clock;
         let point = commit.point;
         let (started, boot_started) = (clock.now(), clock.boot_now());
@@ -87,7 +98,8 @@
         let mut leader_only_at = started + wait;
         let mut poll_at = started + group.typical_lag();
         let mut poll_delay = FIRST_POLL_DELAY;
-        loop {
+        // A group whose replicas must confirm from now on is not acknowledged alone any more.
+        while !group.is_synchronous() {
             let progress = group.listen_progress();
             if let Some(status) = self.commit_status(group, commit, clock.boot_now()) {
                 if status == CommitStatus::Replicated {
@@ -122,14 +134,77 @@
             // The loop checks again whether or not a replica made progress.
             let _ = within(&**clock, poll_at.min(leader_only_at), progress).await;
         }
+        self.confirm_synchronous_commit(group, commit, deadline).await
+    }
+
+    /// Like [`Proxy::confirm_commit`], for a group that loses no acknowledged commit: waits until each member that may lead
+    /// next has the commit.
+    async fn confirm_synchronous_commit(
+        &self,
+        group: &Rc<Group>,
+        commit: &Commit,
+        deadline: Instant,
+    ) -> CommitStatus {
+        let clock = &self.borders.clock;
+        let point = commit.point;
+        let started = clock.now();
+        let mut stalled_at = Some(started + STALL_TIMEOUT);
+        let mut poll_at = started + group.typical_lag();
+        let mut poll_delay = FIRST_POLL_DELAY;
+        let mut was_held = false;
+        loop {
+            let progress = group.listen_progress();
+            let successors = self.successors(group);
+            if let Some(status) = synchronous_status(group, commit, &successors) {
+                if status == CommitStatus::Replicated {
+                    group.record_acknowledged(point);
+                }
+                if status == CommitStatus::Replicated && !was_held {
+                    group.update_typical_lag(clock.now().saturating_duration_since(started));
+                }
+                return status;
+            }
+            was_held |= !matches!(successors, Successors::Chosen(_));
+            let now = clock.now();
+            if now >= deadline {
+                log::warn!(group = group.name.as_str(), term = point.term.0, position = point.position.0, settled = group.is_settled(); "G0799 a commit was not confirmed in time, since the next leader may lack it");
+                return CommitStatus::Superseded;
+            }
+            if stalled_at.is_some_and(|it| now >= it) {
+                stalled_at = None;
+                group.record_stalled(point);
+            }
+            if now >= poll_at {
+                let asks_received = now >= started + RECEIVED_QUERY_DELAY
+                    || group.is_being_replaced(clock.boot_now());
+                let members = successors.members();
+                poll_members(&self.borders, group, members, point, asks_received);
+                poll_at = now + poll_delay;
+                poll_delay = (poll_delay * 2).min(MAX_HELD_POLL_DELAY);
+            }
+            let until = stalled_at.map_or(deadline, |it| it.min(deadline)).min(poll_at);
+            // The loop checks again whether or not a member made progress.
+            let _ = within(&**clock, until, progress).await;
+        }
+    }
+
+    /// The members of a synchronous group that may lead next, as far as this instance knows.
+    fn successors(&self, group: &Group) -> Successors {
+        let now = self.borders.clock.boot_now();
+        // An order that was carried out just before the present leader was ordered may still take effect. And other
+        // instances may promote a member without this one's knowledge if most of them don't confirm the leader.
+        let may_be_ordered = group.is_being_replaced(now) || !self.is_leader_confirmed(group, now);
+        Successors::of(group, may_be_ordered)
     }
 
     /// Whether the commit of a write that is sent to the leader now could be acknowledged.
     pub(crate) fn can_confirm_commits(&self, group: &Group) -> bool {
         let now = self.borders.clock.boot_now();
-        if group.is_synchronous() && !group.is_settled() {
-            let is_recent = group.claims().is_unsettled_since(now.minus(SETTLEMENT_PERIOD));
-            return is_recent || can_all_successors_answer(group);
+        if group.is_synchronous() {
+            let is_recent = group.led_for(now) < NEW_LEADER_PERIOD
+                || group.claims().is_unsettled_since(now.minus(SETTLEMENT_PERIOD));
+            let successors = self.successors(group);
+            return !group.is_stalled(&successors) && (is_recent || successors.can_confirm());
         }
         let (candidates, others) = (successor_candidates(group), other_members(group));
         let can_be_replicated =
@@ -162,16 +237,8 @@
         if group.newest_term() > point.term {
             return Some(CommitStatus::Superseded);
         }
-        let must_wait_for_settlement = group.is_synchronous() && !group.is_settled();
         if !group.is_leader(&commit.leader) {
-            let status = status_with_successor(group, point)?;
-            let is_decided = status == CommitStatus::Superseded
-                || !must_wait_for_settlement
-                || all_successors_have(group, point);
-            return is_decided.then_some(status);
-        }
-        if must_wait_for_settlement {
-            return all_successors_have(group, point).then_some(CommitStatus::Replicated);
+            return status_with_successor(group, point);
         }
         // Any of the replicas may replace a leaving leader, so all of them need the commit. Another instance that replaces
         // the leader may also promote a member that does not answer here.
@@ -214,9 +281,7 @@
         } else {
             started
         };
-        let may_be_replaced =
-            group.may_be_replaced(now) || group.is_synchronous() && !group.is_settled();
-        !may_be_replaced
+        !group.may_be_replaced(now)
             && self.peers.views.is_leader_confirmed(&group.name, &leader.member, views_since, now)
     }
 
@@ -247,17 +312,21 @@
     !targets.is_empty() && targets.iter().all(|it| it.has_commit(point))
 }
 
-/// Whether each member that an outstanding order may promote has the commit at `point`. Which one an order names is not
-/// known for each claim, so all members need the commit.
-fn all_successors_have(group: &Group, point: LogPoint) -> bool {
-    !group.has_lost_successor() && have_all(&other_members(group), point)
-}
-
-/// Whether each member that an outstanding order may promote answers, so that a commit can be confirmed.
-fn can_all_successors_answer(group: &Group) -> bool {
-    let others = other_members(group);
-    let can_answer = |it: &Rc<Target>| !it.is_unresponsive() && it.has_responded();
-    !group.has_lost_successor() && !others.is_empty() && others.iter().all(can_answer)
+/// The status of a commit of a synchronous group; `None` while it is undecided.
+fn synchronous_status(
+    group: &Group,
+    commit: &Commit,
+    successors: &Successors,
+) -> Option<CommitStatus> {
+    if group.newest_term() > commit.point.term {
+        return Some(CommitStatus::Superseded);
+    }
+    if !group.is_leader(&commit.leader)
+        && status_with_successor(group, commit.point)? == CommitStatus::Superseded
+    {
+        return Some(CommitStatus::Superseded);
+    }
+    successors.have(commit.point).then_some(CommitStatus::Replicated)
 }
 
 /// All listed members but the leader.
@@ -281,18 +350,27 @@
 /// While the leader is being replaced, they are also asked what they have received: replicas that apply commits late
 /// would otherwise confirm nothing until the new leader is known.
 fn poll_replicas(borders: &Borders, group: &Rc<Group>, point: LogPoint) {
-    let polled = match group.is_synchronous() {
-        true => other_members(group),
-        false => successor_candidates(group),
-    };
-    for target in polled.into_iter().filter(|it| !it.has_commit(point)) {
+    let asks_received = group.is_being_replaced(borders.clock.boot_now());
+    poll_members(borders, group, &successor_candidates(group), point, asks_received);
+}
+
+/// Asks `members` that are not known to have the commit at `point` where their logs end, and if `asks_received` also what
+/// they have received and not applied yet, which takes a slot.
+fn poll_members(
+    borders: &Borders,
+    group: &Rc<Group>,
+    members: &[Rc<Target>],
+    point: LogPoint,
+    asks_received: bool,
+) {
+    for target in members.iter().filter(|it| !it.has_commit(point)) {
         if target.is_polled.replace(true) {
             continue;
         }
-        let (borders, group) = (borders.clone(), Rc::clone(group));
+        let (borders, group, target) = (borders.clone(), Rc::clone(group), Rc::clone(target));
         let task = async move {
             target_watch::check(&borders, &group, &target).await;
-            if !target.has_commit(point) && group.is_being_replaced(borders.clock.boot_now()) {
+            if !target.has_commit(point) && asks_received {
                 let deadline = borders.clock.now() + RECEIVED_QUERY_TIMEOUT;
                 received_point::query(&*borders.clock, &group, &target, deadline).await;
             }
