Listen for SIGHUP for the whole life of an instance

Cause: the runtime restores the default action of a signal, which ends the process, when its last listener is gone, and a listener is gone with its first signal.

Now a listener that is never awaited is registered before the settings are first read and stays, and the next one is registered before the settings are read again, so that a signal that arrives meanwhile is not missed.

Ruled out: registering earlier in the loop alone, which leaves the moment in which the first listener is dropped. A second SIGTERM still ends a process at once, as is usual.

--- a/crates/gullspar/src/serve.rs
+++ b/crates/gullspar/src/serve.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use gullspar_instance::HangupSignals;
 use gullspar_settings::DirectSettings;
 use gullspar_telemetry::{BoundedAppend, LineWriter};
 use logforth::filter::rustlog::RustLogFilterBuilder;
@@ -11,6 +12,7 @@
 
 /// Runs the instance that the settings in `file` describe; returns the exit code of the process.
 pub(crate) fn serve(file: PathBuf) -> ExitCode {
+    let hangups = HangupSignals::listen();
     let settings = match check::read_direct(&file) {
         Ok(settings) => settings,
         Err(findings) => {
@@ -29,7 +31,7 @@
         }
     };
     let result = runtime.block_on(async move {
-        compio::runtime::spawn(reload_on_hangup(file, settings.clone())).detach();
+        compio::runtime::spawn(reload_on_hangup(hangups, file, settings.clone())).detach();
         gullspar_platform::serve(settings, gullspar_instance::termination_signal()).await
     });
     log::logger().flush();
@@ -46,9 +48,9 @@
 ///
 /// The running instance keeps the settings with which it started, since addresses and names can't
 /// change while it runs.
-async fn reload_on_hangup(file: PathBuf, mut settings: DirectSettings) {
+async fn reload_on_hangup(mut hangups: HangupSignals, file: PathBuf, mut settings: DirectSettings) {
     loop {
-        gullspar_instance::hangup_signal().await;
+        hangups.next().await;
         match check::read_direct(&file) {
             Ok(reloaded) if reloaded == settings => {
                 log::info!("G0811 the settings were reloaded and have not changed");
