Forget a lost successor once nothing is open for its group

A group that was told of no claim while a member restarted, and that then got syncReplicas, refused all writes from then on: the member counted as one that an order may still promote, and only the settlement of a synchronous group's own claim ended that. Now each news after which no claim is open ends it. Found by reading; `a_restart_before_the_claim_was_read_is_forgotten` failed before and passes.

An order of the present leader that the platform refuses is repeated after a second, as a transfer is, since the group is served meanwhile.

--- a/crates/gullspar/tests/soak.rs
+++ b/crates/gullspar/tests/soak.rs
@@ -11,7 +11,15 @@
 fn plan(seed: u64, fault_period: Duration) -> SoakPlan {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
     let program = PathBuf::from(env!("CARGO_BIN_EXE_gullspar"));
-    SoakPlan { program, folder, seed, instances: 3, fault_period, customers: false }
+    SoakPlan {
+        program,
+        folder,
+        seed,
+        instances: 3,
+        fault_period,
+        customers: false,
+        replication: false,
+    }
 }
 
 /// Number of processes whose command line contains a path in `folder`.
--- a/crates/gullspar_direct/src/groups/claim_tracker.rs
+++ b/crates/gullspar_direct/src/groups/claim_tracker.rs
@@ -7,9 +7,6 @@
 
 use crate::FencingToken;
 
-/// Lower than the token of each claim.
-const NO_CLAIM: FencingToken = FencingToken(0);
-
 record! {
     /// The newest claim that an instance knows of, as sent to other instances.
     pub struct ClaimReport {
@@ -45,6 +42,9 @@
 }
 
 impl ClaimTracker {
+    /// Lower than the token of each claim. It is settled where the store has never held a claim.
+    pub const NO_CLAIM: FencingToken = FencingToken(0);
+
     /// Creates an empty tracker. For `lease` after a holder has acted, no other instance may act unless the holder
     /// no longer runs.
     pub fn new(lease: Duration) -> ClaimTracker {
@@ -90,11 +90,6 @@
         }
     }
 
-    /// Records that the store has never held a claim for the group.
-    pub fn record_unclaimed(&mut self) {
-        self.record_settled(NO_CLAIM);
-    }
-
     /// The newest claim that is known to be settled.
     pub fn settled(&self) -> Option<FencingToken> {
         self.settled
--- a/crates/gullspar_direct/src/groups/failover.rs
+++ b/crates/gullspar_direct/src/groups/failover.rs
@@ -12,8 +12,7 @@
 use crate::groups::claim_reading::ClaimReading;
 use crate::groups::failover_timing::{
     CALM_CHECK_INTERVAL, CHECK_INTERVAL, LEADERLESS_TIMEOUT, MAX_ORDER_ATTEMPTS, PROMOTION_TIMEOUT,
-    RETRY_DELAY, TRANSFER_RETRY_DELAY, TRANSFER_STORE_RETRY_DELAY, TURN_DELAY,
-    VERDICT_LOG_INTERVAL,
+    RETRY_DELAY, SERVED_RETRY_DELAY, TRANSFER_RETRY_DELAY, TURN_DELAY, VERDICT_LOG_INTERVAL,
 };
 use crate::groups::group::Group;
 use crate::groups::settlement::Preparation;
@@ -384,7 +383,8 @@
     async fn back_off(&self, cause: FailoverCause, what: &str, reason: &str) {
         log::warn!(group = self.group.name.as_str(), what = what, reason = reason; "G0720 replacing a leader failed");
         let clock = &self.borders.clock;
-        let delay = if cause.is_transfer() { TRANSFER_STORE_RETRY_DELAY } else { RETRY_DELAY };
+        let is_served = cause.is_transfer() || cause == FailoverCause::Unsettled;
+        let delay = if is_served { SERVED_RETRY_DELAY } else { RETRY_DELAY };
         clock.sleep_until(clock.now() + delay).await;
     }
 
--- a/crates/gullspar_direct/src/groups/failover_timing.rs
+++ b/crates/gullspar_direct/src/groups/failover_timing.rs
@@ -59,8 +59,8 @@
 /// Delay before a candidate of a transfer is searched for again.
 pub(crate) const TRANSFER_RETRY_DELAY: Duration = Duration::from_millis(300);
 
-/// Delay before a transfer is tried again after the store or the platform failed. The group is served meanwhile.
-pub(crate) const TRANSFER_STORE_RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Delay before the next attempt after the store or the platform failed, if the group is served meanwhile.
+pub(crate) const SERVED_RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// Minimum time between two log lines about a group whose leader role is worth transferring; the verdict may come and go.
 pub(crate) const VERDICT_LOG_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/gullspar_direct/src/groups/group.rs
+++ b/crates/gullspar_direct/src/groups/group.rs
@@ -574,8 +574,10 @@
         claims.record_settled(token);
         let (is_settled, is_new) = (claims.is_settled(), claims.settled() != known);
         drop(claims);
-        if is_settled && !was_settled && self.is_synchronous() {
+        if is_settled {
             self.has_lost_successor.set(false);
+        }
+        if is_settled && !was_settled && self.is_synchronous() {
             log::info!(group = self.name.as_str(), token = token.0; "G0795 no earlier order can change a group's leader any more");
             self.notify_progress();
         }
@@ -586,9 +588,7 @@
 
     /// Records that the store has never held a claim for the group.
     pub(crate) fn record_unclaimed(&self) {
-        self.claims.borrow_mut().record_unclaimed();
-        self.notify_progress();
-        self.notify();
+        self.record_settled(ClaimTracker::NO_CLAIM);
     }
 
     /// Records that an order may still promote a member that is not listed.
--- a/crates/gullspar_direct/tests/knowledge.rs
+++ b/crates/gullspar_direct/tests/knowledge.rs
@@ -323,7 +323,7 @@
 fn a_claim_is_settled_only_by_news_of_its_own_or_a_later_settlement() {
     let mut claims = ClaimTracker::new(Duration::from_secs(3));
     assert!(!claims.is_settled(), "nothing is known yet");
-    claims.record_unclaimed();
+    claims.record_settled(ClaimTracker::NO_CLAIM);
     assert!(claims.is_settled());
     claims.record_act(FencingToken(4), InstanceId::new("a"), at(0));
     claims.record_act(FencingToken(5), InstanceId::new("b"), at(100));
--- a/crates/gullspar_direct/tests/synchronous_groups.rs
+++ b/crates/gullspar_direct/tests/synchronous_groups.rs
@@ -68,6 +68,22 @@
     });
 }
 
+/// Guards against a group that confirms nothing any more because a member restarted before anything was known of claims.
+#[test]
+fn a_restart_before_the_claim_was_read_is_forgotten() {
+    run(async {
+        let world = World::new();
+        let proxies = world.instances(2).await;
+        world.group.restart_with_empty_log(2);
+        announce(&world, &proxies, 2);
+        proxies.iter().for_each(|it| {
+            it.directory.apply_catalogue(synchronous_catalogue(2));
+        });
+        pause(200).await;
+        assert_eq!(write(&world, &proxies[0], "slot").await, Ok(()));
+    });
+}
+
 /// Guards against writes that wait for their deadline although no replica receives anything, and against refusing them for
 /// good.
 #[test]
--- a/crates/gullsparctl/src/command_line.rs
+++ b/crates/gullsparctl/src/command_line.rs
@@ -130,4 +130,10 @@
                 .help("Give callers keys, revoke some of them, and restore the store from older copies")
                 .action(ArgAction::SetTrue),
         )
+        .arg(
+            Arg::new("replication")
+                .long("replication")
+                .help("Draw syncReplicas, late orders, replaced and deaf members and stopped claimants from the seed")
+                .action(ArgAction::SetTrue),
+        )
 }
--- a/crates/gullsparctl/src/soak_command.rs
+++ b/crates/gullsparctl/src/soak_command.rs
@@ -25,6 +25,7 @@
             instances: number("instances") as usize,
             fault_period: Duration::from_secs(number("seconds")),
             customers: args.get_flag("customers"),
+            replication: args.get_flag("replication"),
         };
         let runtime =
             compio::runtime::Runtime::new().map_err(|err| CommandError::Text(err.to_string()))?;
@@ -45,7 +46,7 @@
     let passed = report.breaches.is_empty() && report.done_after_faults > 0;
     println!(
         "seed {}: {}; {} faults, {} written, {} not kept, {} unknown, {} lost as allowed, {} reads, \
-         {} written afterwards",
+         {} written afterwards, {} promotions, {} of them late{}",
         report.seed,
         if passed { "passed" } else { "FAILED" },
         report.faults.len(),
@@ -55,6 +56,9 @@
         report.allowed_losses,
         report.reads,
         report.done_after_faults,
+        report.promotions,
+        report.late_orders,
+        if report.is_synchronous { ", synchronous" } else { "" },
     );
     if !passed {
         report.faults.iter().for_each(|it| println!("  {it}"));
