Take a claim for settled only while the member that it names leads

An order that the platform carried out just before it answered one of the present leader may still take effect. The claim of the later order then counted as settled although another member led, and a repetition of that order, carried out late, would have replaced the leader again, without commits that one replica had confirmed.

Now a settlement names its leader, and holds for an instance only while it sees that member lead. If another one leads, commits are held back and the present leader is ordered with a new claim.

--- a/crates/gullspar_direct/src/groups/claim_tracker.rs
+++ b/crates/gullspar_direct/src/groups/claim_tracker.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use gullspar_border::BootInstant;
-use gullspar_model::{InstanceId, record};
+use gullspar_model::{InstanceId, MemberName, record};
 
 use crate::FencingToken;
 
@@ -18,6 +18,15 @@
     }
 }
 
+record! {
+    /// A claim after which no order, under it or under an older one, makes another member than `leader` the leader.
+    pub struct Settlement {
+        pub token: FencingToken,
+        /// `None` if no order was ever sent for the group.
+        pub leader: Option<MemberName>,
+    }
+}
+
 /// The claims that this instance knows of for one group.
 #[derive(Clone, Debug)]
 pub struct ClaimTracker {
@@ -29,7 +38,7 @@
     /// lost claim is still active.
     previous: Option<KnownClaim>,
     /// The newest claim that is known to be settled; `None` until the store or another instance has told of one.
-    settled: Option<FencingToken>,
+    settled: Option<Settlement>,
     /// When the oldest claim that is not known to be settled became known.
     unsettled_since: Option<BootInstant>,
 }
@@ -42,8 +51,8 @@
 }
 
 impl ClaimTracker {
-    /// Lower than the token of each claim. It is settled where the store has never held a claim.
-    pub const NO_CLAIM: FencingToken = FencingToken(0);
+    /// What holds where the store has never held a claim.
+    pub const UNCLAIMED: Settlement = Settlement { token: FencingToken(0), leader: None };
 
     /// Creates an empty tracker. For `lease` after a holder has acted, no other instance may act unless the holder
     /// no longer runs.
@@ -63,7 +72,8 @@
 
     /// Records that `holder` acted with `token` at `at`.
     pub fn record_act(&mut self, token: FencingToken, holder: InstanceId, at: BootInstant) {
-        if self.settled.is_none_or(|it| it < token) && self.unsettled_since.is_none() {
+        let is_open = self.settled.as_ref().is_none_or(|it| it.token < token);
+        if is_open && self.unsettled_since.is_none() {
             self.unsettled_since = Some(at);
         }
         match &mut self.newest {
@@ -82,28 +92,44 @@
         }
     }
 
-    /// Records that no order under `token`, or under an older claim, can make another member the leader any more.
-    pub fn record_settled(&mut self, token: FencingToken) {
-        self.settled = self.settled.max(Some(token));
-        if self.is_settled() {
+    /// Records a settlement, unless a newer one is known.
+    pub fn record_settled(&mut self, settlement: Settlement) {
+        if self.settled.as_ref().is_none_or(|it| it.token <= settlement.token) {
+            self.settled = Some(settlement);
+        }
+        if !self.has_open_claim() {
             self.unsettled_since = None;
         }
     }
 
-    /// The newest claim that is known to be settled.
-    pub fn settled(&self) -> Option<FencingToken> {
-        self.settled
+    /// Records that no order was sent under the claim with `token`, and that it was made when no claim was open.
+    pub fn record_unused(&mut self, token: FencingToken) {
+        let leader = self.settled.as_ref().and_then(|it| it.leader.clone());
+        self.record_settled(Settlement { token, leader });
+    }
+
+    /// The newest settlement known.
+    pub fn settled(&self) -> Option<&Settlement> {
+        self.settled.as_ref()
+    }
+
+    /// Whether orders under a claim may be carried out later. Until the first news of a claim this is unknown, and the
+    /// answer is `true`.
+    pub fn has_open_claim(&self) -> bool {
+        let newest = self.newest.as_ref().map(|it| it.token);
+        self.settled.as_ref().is_none_or(|it| newest > Some(it.token))
     }
 
-    /// Whether no order under any claim can make another member the leader any more. Until the first news of a claim
-    /// this is unknown, and the answer is `false`.
-    pub fn is_settled(&self) -> bool {
-        self.settled.is_some_and(|it| self.newest.as_ref().is_none_or(|newest| newest.token <= it))
+    /// Whether no order can make another member than `leader` the leader. That is not so if another one leads than the newest
+    /// settlement names: an order of that one, carried out again, would have an effect.
+    pub fn is_settled(&self, leader: Option<&MemberName>) -> bool {
+        let expected = self.settled.as_ref().and_then(|it| it.leader.as_ref());
+        !self.has_open_claim() && expected.is_none_or(|it| Some(it) == leader)
     }
 
-    /// Whether a claim is not known to be settled, and became known after `instant`.
+    /// Whether a claim is open, and became known after `instant`.
     pub fn is_unsettled_since(&self, instant: BootInstant) -> bool {
-        !self.is_settled() && self.unsettled_since.is_some_and(|it| it >= instant)
+        self.has_open_claim() && self.unsettled_since.is_some_and(|it| it >= instant)
     }
 
     /// Applies a report that the instance `from` sent and that arrived at `now`.
--- a/crates/gullspar_direct/src/groups/commit_report.rs
+++ b/crates/gullspar_direct/src/groups/commit_report.rs
@@ -4,7 +4,7 @@
 
 use gullspar_model::{GroupName, InstanceId, LogPoint, record};
 
-use crate::{FencingToken, NewestAcknowledged};
+use crate::{FencingToken, NewestAcknowledged, Settlement};
 
 record! {
     /// One home's report about a synchronous group.
@@ -12,8 +12,8 @@
         pub group: GroupName,
         /// The newest claim that the sender knows of.
         pub claim: Option<FencingToken>,
-        /// The newest claim that the sender knows to be settled.
-        pub settled: Option<FencingToken>,
+        /// The newest settlement that the sender knows of.
+        pub settled: Option<Settlement>,
         /// The newest commit that the sender has acknowledged.
         pub acknowledged: Option<LogPoint>,
         /// Whether that covers all that was acknowledged under the sender's id. An instance that has just started doesn't know
@@ -33,7 +33,7 @@
 impl CommitReport {
     /// Whether the sender has learnt since `old` of a claim or of its settlement.
     pub(crate) fn has_news_since(&self, old: &CommitReport) -> bool {
-        (self.claim, self.settled) != (old.claim, old.settled)
+        (self.claim, &self.settled) != (old.claim, &old.settled)
     }
 }
 
--- a/crates/gullspar_direct/src/groups/failover.rs
+++ b/crates/gullspar_direct/src/groups/failover.rs
@@ -208,10 +208,10 @@
             log::info!(group = self.group.name.as_str(), holder = claim.holder.as_str(), token = token.0; "G0761 a running instance holds the claim; waiting for it to act");
             return;
         }
-        let was_settled = self.group.is_settled();
-        if was_settled && cause == FailoverCause::Unsettled {
+        if cause == FailoverCause::Unsettled && self.group.is_settled() {
             return;
         }
+        let had_open_claim = self.group.claims().has_open_claim();
         let mut claim = self.new_claim(cause, &candidate);
         if cause == FailoverCause::Unsettled {
             log::info!(group = self.group.name.as_str(), member = claim.member.as_str(); "G0796 an order may still promote another member; the present leader is ordered, so that it can't");
@@ -230,9 +230,8 @@
                     token = claimed;
                 }
                 Preparation::GivenUp => {
-                    if was_settled {
-                        // No order was sent under this claim.
-                        self.group.record_settled(token);
+                    if !had_open_claim {
+                        self.group.record_unused(token);
                     }
                     return;
                 }
@@ -260,7 +259,7 @@
                 if self.group.is_leader(&claim.member) {
                     // The platform refuses all orders with a lower token from now on, and one that is carried out again
                     // with this token changes nothing.
-                    self.group.record_settled(token);
+                    self.group.record_settled(token, claim.member.clone());
                 }
             }
             Err(PromoteError::NoAnswer(reason)) => {
--- a/crates/gullspar_direct/src/groups/group.rs
+++ b/crates/gullspar_direct/src/groups/group.rs
@@ -20,7 +20,7 @@
 use crate::targets::target::Target;
 use crate::{
     ClaimTracker, FencingToken, GroupView, LeaderHealth, LeaderReport, NewestAcknowledged,
-    PositionSample, PositionSamples,
+    PositionSample, PositionSamples, Settlement,
 };
 
 /// A replica lags if it lacks what the leader had this long ago.
@@ -150,7 +150,8 @@
         if let Some(target) = self.targets.borrow_mut().remove(member) {
             target.removed.set(true);
             target.pool.close();
-            self.has_lost_successor.set(self.has_lost_successor.get() || !self.is_settled());
+            let is_open = self.claims.borrow().has_open_claim();
+            self.has_lost_successor.set(self.has_lost_successor.get() || is_open);
         }
         self.notify();
     }
@@ -370,7 +371,7 @@
         CommitReport {
             group: self.name.clone(),
             claim: claims.token(),
-            settled: claims.settled(),
+            settled: claims.settled().cloned(),
             acknowledged: self.newest_acknowledged.get(),
             is_complete: now.since(self.served_since) >= DEAD_COUNTED_PERIOD,
         }
@@ -378,8 +379,8 @@
 
     /// Applies a report of another home.
     pub(crate) fn apply_commit_report(&self, from: InstanceId, report: CommitReport) {
-        if let Some(token) = report.settled {
-            self.record_settled(token);
+        if let Some(settlement) = report.settled.clone() {
+            self.change_settlement(|it| it.record_settled(settlement));
         }
         self.commit_reports.borrow_mut().record(from, report);
     }
@@ -563,34 +564,44 @@
 
     /// Whether no order to promote a member can make another one the leader any more, as far as this instance knows.
     pub(crate) fn is_settled(&self) -> bool {
-        self.claims.borrow().is_settled()
+        let leader = self.leader.borrow();
+        self.claims.borrow().is_settled(leader.as_ref().map(|it| &it.member))
     }
 
-    /// Records that no order under `token`, or under an older claim, can make another member the leader any more.
-    pub(crate) fn record_settled(&self, token: FencingToken) {
+    /// Records that the platform has answered an order of `leader` under the claim with `token`.
+    pub(crate) fn record_settled(&self, token: FencingToken, leader: MemberName) {
+        let settlement = Settlement { token, leader: Some(leader) };
+        self.change_settlement(|it| it.record_settled(settlement));
+    }
+
+    /// Records that no order was sent under the claim with `token`, and that it was made when no claim was open.
+    pub(crate) fn record_unused(&self, token: FencingToken) {
+        self.change_settlement(|it| it.record_unused(token));
+    }
+
+    /// Records that the store has never held a claim for the group.
+    pub(crate) fn record_unclaimed(&self) {
+        self.change_settlement(|it| it.record_settled(ClaimTracker::UNCLAIMED));
+    }
+
+    fn change_settlement(&self, change: impl FnOnce(&mut ClaimTracker)) {
         let mut claims = self.claims.borrow_mut();
-        let was_settled = claims.is_settled();
-        let known = claims.settled();
-        claims.record_settled(token);
-        let (is_settled, is_new) = (claims.is_settled(), claims.settled() != known);
+        let (was_open, known) = (claims.has_open_claim(), claims.settled().cloned());
+        change(&mut claims);
+        let (is_open, settled) = (claims.has_open_claim(), claims.settled().cloned());
         drop(claims);
-        if is_settled {
+        if !is_open {
             self.has_lost_successor.set(false);
         }
-        if is_settled && !was_settled && self.is_synchronous() {
-            log::info!(group = self.name.as_str(), token = token.0; "G0795 no earlier order can change a group's leader any more");
+        if was_open && !is_open && self.is_synchronous() {
+            log::info!(group = self.name.as_str(), settled:? = settled; "G0795 no earlier order can change a group's leader any more");
             self.notify_progress();
         }
-        if is_new {
+        if settled != known {
             self.notify();
         }
     }
 
-    /// Records that the store has never held a claim for the group.
-    pub(crate) fn record_unclaimed(&self) {
-        self.record_settled(ClaimTracker::NO_CLAIM);
-    }
-
     /// Records that an order may still promote a member that is not listed.
     pub(crate) fn record_lost_successor(&self) {
         self.has_lost_successor.set(true);
--- a/crates/gullspar_direct/src/groups/settlement.rs
+++ b/crates/gullspar_direct/src/groups/settlement.rs
@@ -35,7 +35,7 @@
         let now = self.borders.clock.boot_now();
         self.group.claims().record_observed(*token, holder, now);
         let is_listed = claim.as_ref().is_none_or(|it| self.group.target(&it.member).is_some());
-        if !is_listed && !self.group.is_settled() {
+        if !is_listed && self.group.claims().has_open_claim() {
             self.group.record_lost_successor();
         }
     }
--- a/crates/gullspar_direct/src/lib.rs
+++ b/crates/gullspar_direct/src/lib.rs
@@ -29,7 +29,7 @@
 pub use fleet::peer_table::PeerTable;
 pub use fleet::registry::{Registry, RegistryError};
 pub use fleet::rotation;
-pub use groups::claim_tracker::{ClaimReport, ClaimTracker};
+pub use groups::claim_tracker::{ClaimReport, ClaimTracker, Settlement};
 pub use groups::claims::{
     Claim, ClaimError, Claims, CurrentClaim, FencingToken, PromoteError, Promoter,
 };
--- a/crates/gullspar_direct/tests/knowledge.rs
+++ b/crates/gullspar_direct/tests/knowledge.rs
@@ -7,7 +7,7 @@
 use gullspar_border::BootInstant;
 use gullspar_direct::{
     ClaimReport, ClaimTracker, Directory, FencingToken, PositionSample, PositionSamples,
-    TargetList, Verdict, VoteTally,
+    Settlement, TargetList, Verdict, VoteTally,
 };
 use gullspar_model::{InstanceId, LogPoint, Revision};
 use gullspar_statement::TargetSpec;
@@ -318,21 +318,39 @@
     );
 }
 
+fn settlement(token: u64, leader: &str) -> Settlement {
+    Settlement { token: FencingToken(token), leader: Some(leader.into()) }
+}
+
 /// Guards against taking an order for void because of time, of an older claim's settlement, or of having heard of none.
 #[test]
 fn a_claim_is_settled_only_by_news_of_its_own_or_a_later_settlement() {
     let mut claims = ClaimTracker::new(Duration::from_secs(3));
-    assert!(!claims.is_settled(), "nothing is known yet");
-    claims.record_settled(ClaimTracker::NO_CLAIM);
-    assert!(claims.is_settled());
+    let leader = Some(&"m1".into());
+    assert!(!claims.is_settled(leader), "nothing is known yet");
+    claims.record_settled(ClaimTracker::UNCLAIMED);
+    assert!(claims.is_settled(leader));
     claims.record_act(FencingToken(4), InstanceId::new("a"), at(0));
     claims.record_act(FencingToken(5), InstanceId::new("b"), at(100));
-    claims.record_settled(FencingToken(4));
-    assert!(!claims.is_settled(), "the newest claim is open");
+    claims.record_settled(settlement(4, "m1"));
+    assert!(!claims.is_settled(leader), "the newest claim is open");
     assert!(claims.is_unsettled_since(at(0)) && !claims.is_unsettled_since(at(1)));
-    claims.record_settled(FencingToken(5));
+    claims.record_settled(settlement(5, "m1"));
     claims.record_act(FencingToken(5), InstanceId::new("b"), at(60_000));
-    assert!(claims.is_settled());
-    claims.record_settled(FencingToken(4));
-    assert!(claims.is_settled());
+    assert!(claims.is_settled(leader));
+    claims.record_settled(settlement(4, "m2"));
+    assert!(claims.is_settled(leader));
+}
+
+/// Guards against relying on the order of a member that does not lead: a repetition of it that is carried out late would
+/// promote that member.
+#[test]
+fn a_claim_is_settled_only_while_its_member_leads() {
+    let mut claims = ClaimTracker::new(Duration::from_secs(3));
+    claims.record_settled(settlement(5, "m1"));
+    assert!(claims.is_settled(Some(&"m1".into())));
+    assert!(!claims.is_settled(Some(&"m2".into())) && !claims.is_settled(None));
+    claims.record_act(FencingToken(6), InstanceId::new("a"), at(0));
+    claims.record_unused(FencingToken(6));
+    assert!(claims.is_settled(Some(&"m1".into())) && !claims.is_settled(Some(&"m2".into())));
 }
--- a/crates/gullspar_direct/tests/late_orders.rs
+++ b/crates/gullspar_direct/tests/late_orders.rs
@@ -163,6 +163,30 @@
     });
 }
 
+/// Guards against an order that takes effect after a later one was answered: a repetition of the later one, carried out late,
+/// would replace the leader again.
+#[test]
+fn a_leader_that_the_newest_order_does_not_name_is_ordered() {
+    run(async {
+        let world = World::new();
+        let _proxies = world.synchronous_instances(3).await;
+        world.group.inject_fault(0, Fault::Unresponsive);
+        world.wait_for_new_leader("m0", FAILOVER_TIMEOUT_MS).await;
+        world.group.clear_faults(0);
+        pause(500).await;
+        let ordered = world.group.leader().unwrap();
+        let other = if ordered == "m1".into() { "m2" } else { "m1" };
+        world.group.promote(&other.into());
+        wait_until(FAILOVER_TIMEOUT_MS, "the present leader is ordered", || {
+            world.promoter.orders().last().is_some_and(|it| it.member == other.into())
+        })
+        .await;
+        pause(1000).await;
+        assert_eq!(world.promoter.orders().len(), 2, "{:?}", world.promoter.orders());
+        assert_eq!(world.group.leader(), Some(other.into()));
+    });
+}
+
 /// Guards against holding back commits of a group that was never claimed, or whose last promotion is complete.
 #[test_case(false; "never claimed")]
 #[test_case(true; "after a promotion")]
