Ask one place who answers and stays, and split the replacement of a leader

Read again as a whole, the mends had written some things a second time:

- "answers" and "answers and stays" stood in eight places with their own conditions; now `Target::is_answering` and `is_staying`, and `Group::other_members` and `staying_replicas`, serve all of them, the older ones included.
`Successors::Chosen` holds just the members that count, so others are no longer polled for a commit that they can't confirm.
- The query for a member's log and the refusal of a superseded one (G0753) served each kind of selection in a copy of its own; now both call one.
- Reports about leaders and about commits were sent by the same loop twice.
- Whether an order may name a member that is not listed was kept beside the claims that it depends on; it belongs to `ClaimTracker`, which ends it itself.
- `replace_leader` had grown to 120 lines with its steps between conditions; the steps are functions of their own in `replacement.rs`. group.rs, 681 lines, gives what callers lose at a leader, and what a synchronous group knows, to files of their own and has 440.

Behaviour is as it was.

--- a/crates/gullspar_direct/src/fleet/commit_reports.rs
+++ b/crates/gullspar_direct/src/fleet/commit_reports.rs
@@ -32,21 +32,9 @@
         let is_new = |it: &&CommitReport| {
             is_due || sent.reports.get(&it.group).is_none_or(|old| it.has_news_since(old))
         };
-        let due: Vec<&CommitReport> = reports.iter().filter(is_new).collect();
+        let due: Vec<CommitReport> = reports.iter().filter(is_new).cloned().collect();
         if !due.is_empty() {
-            for address in self.peers.group_peers(|_| true) {
-                let shared = self.peers.shared_groups(address);
-                let selected: Vec<CommitReport> = due
-                    .iter()
-                    .filter(|it| shared.contains(&it.group))
-                    .map(|it| (*it).clone())
-                    .collect();
-                for reports in selected.chunks(MAX_REPORTS) {
-                    let reports =
-                        CommitReports { from: self.own.id.clone(), reports: reports.to_vec() };
-                    self.borders.peers.send(address, &PeerMessage::CommitReports(reports));
-                }
-            }
+            self.send_group_reports(&due, |it| &it.group, |it| self.encode_commit_reports(it));
         }
         if is_due {
             sent.at = Some(now);
@@ -54,6 +42,14 @@
         sent.reports = reports.into_iter().map(|it| (it.group.clone(), it)).collect();
     }
 
+    fn encode_commit_reports(&self, reports: &[CommitReport]) -> Vec<PeerMessage> {
+        let message = |it: &[CommitReport]| {
+            let reports = CommitReports { from: self.own.id.clone(), reports: it.to_vec() };
+            PeerMessage::CommitReports(reports)
+        };
+        reports.chunks(MAX_REPORTS).map(message).collect()
+    }
+
     /// Applies the reports of another home.
     pub(crate) fn apply_commit_reports(&self, reports: CommitReports) {
         for report in reports.reports.into_iter().take(MAX_REPORTS) {
--- a/crates/gullspar_direct/src/fleet/leader_reports.rs
+++ b/crates/gullspar_direct/src/fleet/leader_reports.rs
@@ -39,15 +39,15 @@
             return;
         }
         reports.sort_by_key(|it| std::cmp::Reverse(it.lost_per_s));
-        for address in self.peers.group_peers(|_| true) {
-            let shared = self.peers.shared_groups(address);
-            let selected = reports.iter().filter(|it| shared.contains(&it.group));
-            let reports: Vec<LeaderReport> = selected.take(MAX_REPORTS).cloned().collect();
-            if !reports.is_empty() {
+        self.send_group_reports(
+            &reports,
+            |it| &it.group,
+            |it| {
+                let reports = it.iter().take(MAX_REPORTS).cloned().collect();
                 let message = LeaderReports { from: self.own.id.clone(), reports };
-                self.borders.peers.send(address, &PeerMessage::LeaderReports(message));
-            }
-        }
+                vec![PeerMessage::LeaderReports(message)]
+            },
+        );
     }
 
     /// Records the reports of another home. Those of instances that don't monitor the group are ignored.
--- a/crates/gullspar_direct/src/fleet/mod.rs
+++ b/crates/gullspar_direct/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod alternate_route;
 pub(crate) mod commit_reports;
 pub(crate) mod discovery;
+pub(crate) mod group_reports;
 pub(crate) mod heartbeat;
 pub(crate) mod heartbeats;
 pub(crate) mod home_groups;
--- a/crates/gullspar_direct/src/groups/acknowledged_commits.rs
+++ b/crates/gullspar_direct/src/groups/acknowledged_commits.rs
@@ -11,6 +11,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct AcknowledgedCommits {
     points: VecDeque<LogPoint>,
+    /// The newest of all, also once it is forgotten in `points`.
+    newest: Option<LogPoint>,
 }
 
 impl AcknowledgedCommits {
@@ -19,6 +21,12 @@
             self.points.pop_front();
         }
         self.points.push_back(point);
+        self.newest = self.newest.max(Some(point));
+    }
+
+    /// The newest commit that was acknowledged.
+    pub(crate) fn newest(&self) -> Option<LogPoint> {
+        self.newest
     }
 
     /// Removes all commits, and returns the number of those that a new leader lacks whose log ends at `end`.
--- a/crates/gullspar_direct/src/groups/claim_tracker.rs
+++ b/crates/gullspar_direct/src/groups/claim_tracker.rs
@@ -41,6 +41,8 @@
     settled: Option<Settlement>,
     /// When the oldest claim that is not known to be settled became known.
     unsettled_since: Option<BootInstant>,
+    /// Whether an order may still promote a member that is not listed.
+    has_lost_successor: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -57,7 +59,14 @@
     /// Creates an empty tracker. For `lease` after a holder has acted, no other instance may act unless the holder
     /// no longer runs.
     pub fn new(lease: Duration) -> ClaimTracker {
-        ClaimTracker { lease, newest: None, previous: None, settled: None, unsettled_since: None }
+        ClaimTracker {
+            lease,
+            newest: None,
+            previous: None,
+            settled: None,
+            unsettled_since: None,
+            has_lost_successor: false,
+        }
     }
 
     /// Records that the store held this claim at `at`.
@@ -99,9 +108,20 @@
         }
         if !self.has_open_claim() {
             self.unsettled_since = None;
+            self.has_lost_successor = false;
         }
     }
 
+    /// Records that a member is not listed, or not any more. If a claim is open, an order may still promote it.
+    pub fn record_unlisted_member(&mut self) {
+        self.has_lost_successor |= self.has_open_claim();
+    }
+
+    /// Whether an order may still promote a member that is not listed, so that nothing is known about its log.
+    pub fn has_lost_successor(&self) -> bool {
+        self.has_lost_successor
+    }
+
     /// Records that no order was sent under the claim with `token`, and that it was made when no claim was open.
     pub fn record_unused(&mut self, token: FencingToken) {
         let leader = self.settled.as_ref().and_then(|it| it.leader.clone());
--- a/crates/gullspar_direct/src/groups/failover.rs
+++ b/crates/gullspar_direct/src/groups/failover.rs
@@ -1,24 +1,20 @@
-//! Replaces the leader of a group when it has failed or is leaving.
+//! Decides whether a group needs another leader, and which instance acts.
 
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Instant;
 
 use gullspar_border::within;
-use gullspar_model::{InstanceId, MemberName, Term};
+use gullspar_model::{InstanceId, MemberName};
 
 use crate::fleet::homes;
-use crate::groups::candidate::Candidate;
 use crate::groups::claim_reading::ClaimReading;
 use crate::groups::failover_timing::{
-    CALM_CHECK_INTERVAL, CHECK_INTERVAL, LEADERLESS_TIMEOUT, MAX_ORDER_ATTEMPTS, PROMOTION_TIMEOUT,
-    RETRY_DELAY, SERVED_RETRY_DELAY, TRANSFER_RETRY_DELAY, TURN_DELAY, VERDICT_LOG_INTERVAL,
+    CALM_CHECK_INTERVAL, CHECK_INTERVAL, LEADERLESS_TIMEOUT, TURN_DELAY, VERDICT_LOG_INTERVAL,
 };
 use crate::groups::group::Group;
-use crate::groups::settlement::Preparation;
 use crate::{
-    Borders, Claim, ClaimError, FencingToken, PeerTable, Phase, PromoteError, Shutdown,
-    TransferCause, TransferJudge, Verdict, VoteTally,
+    Borders, PeerTable, Phase, Shutdown, TransferCause, TransferJudge, Verdict, VoteTally,
 };
 
 /// Why a group needs another leader.
@@ -40,7 +36,7 @@
 
 impl FailoverCause {
     /// The label of the cause in metrics.
-    fn label(self) -> &'static str {
+    pub(crate) fn label(self) -> &'static str {
         match self {
             FailoverCause::Gone => "gone",
             FailoverCause::Leaves => "leaves",
@@ -52,7 +48,7 @@
         }
     }
 
-    fn is_transfer(self) -> bool {
+    pub(crate) fn is_transfer(self) -> bool {
         matches!(self, FailoverCause::Transfer(_))
     }
 }
@@ -121,8 +117,7 @@
         let leader = self.group.leader();
         let Some(leader) = leader else {
             let timed_out = now >= self.group.leaderless_since() + LEADERLESS_TIMEOUT;
-            let is_reachable =
-                self.group.targets().iter().any(|it| it.has_responded() && !it.is_unresponsive());
+            let is_reachable = self.group.targets().iter().any(|it| it.is_answering());
             let boot_now = self.borders.clock.boot_now();
             let has_leader = self.peers.views.is_leader_seen_by_peers(&self.group.name, boot_now);
             return (timed_out && is_reachable && !has_leader && self.is_agreed(None))
@@ -170,239 +165,4 @@
         });
         ranking.iter().position(|it| *it == self.own).unwrap_or(0) as u32
     }
-
-    /// Selects a candidate, obtains the claim and orders the promotion.
-    async fn replace_leader(&self, cause: FailoverCause, began: Instant) {
-        let clock = Rc::clone(&self.borders.clock);
-        // Replicas that have not received everything may not for seconds. Until then the store is not asked.
-        let successor = if cause.is_transfer() { self.select_successor().await } else { None };
-        if cause.is_transfer() && successor.is_none() {
-            clock.sleep_until(clock.now() + TRANSFER_RETRY_DELAY).await;
-            return;
-        }
-        let current = match self.borders.claims.current(&self.group.name).await {
-            Ok(current) => current,
-            Err(err) => {
-                return self.back_off(cause, "reading the claim", &err.to_string()).await;
-            }
-        };
-        let previous = current.as_ref().and_then(|it| it.claim.as_ref());
-        let candidate = match (successor, cause) {
-            (Some(successor), _) => Some(successor),
-            (None, FailoverCause::Unsettled) => None,
-            (None, _) => self.select_candidate(cause, began, previous).await,
-        };
-        let (cause, mut candidate) = match (candidate, self.present_leader()) {
-            (Some(candidate), _) => (cause, candidate),
-            (None, Some(leader)) if self.needs_settlement() => (FailoverCause::Unsettled, leader),
-            (None, _) => {
-                clock.sleep_until(clock.now() + CHECK_INTERVAL).await;
-                return;
-            }
-        };
-        let over = current.as_ref().map(|it| it.token);
-        self.record_current_claim(current.as_ref());
-        if let (Some(token), Some(claim)) = (over, previous)
-            && !self.can_act()
-        {
-            log::info!(group = self.group.name.as_str(), holder = claim.holder.as_str(), token = token.0; "G0761 a running instance holds the claim; waiting for it to act");
-            return;
-        }
-        if cause == FailoverCause::Unsettled && self.group.is_settled() {
-            return;
-        }
-        let had_open_claim = self.group.claims().has_open_claim();
-        let mut claim = self.new_claim(cause, &candidate);
-        if cause == FailoverCause::Unsettled {
-            log::info!(group = self.group.name.as_str(), member = claim.member.as_str(); "G0796 an order may still promote another member; the present leader is ordered, so that it can't");
-        } else {
-            log::info!(group = self.group.name.as_str(), member = claim.member.as_str(), cause:? = cause, point:? = candidate.point, leader:? = self.group.newest_position_sample().map(|it| it.point); "G0715 a group needs another leader");
-        }
-        let Some(mut token) = self.obtain_claim(cause, &claim, over).await else { return };
-        loop {
-            match self.prepare_order(cause, &candidate, previous, token).await {
-                Preparation::Ready => break,
-                Preparation::Claim(chosen) => {
-                    candidate = chosen;
-                    claim = self.new_claim(cause, &candidate);
-                    let claimed = self.obtain_claim(cause, &claim, Some(token)).await;
-                    let Some(claimed) = claimed else { return };
-                    token = claimed;
-                }
-                Preparation::GivenUp => {
-                    if !had_open_claim {
-                        self.group.record_unused(token);
-                    }
-                    return;
-                }
-            }
-        }
-        let ordered = self.order_promotion(cause, &claim, token).await;
-        // While an act is recent, commits are confirmed only by all members. If the answer was late and the member leads
-        // already, that would hold back its commits.
-        if !self.group.is_leader(&claim.member) {
-            self.record_act(token);
-        }
-        let may_take_effect = matches!(ordered, Ok(()) | Err(PromoteError::NoAnswer(_)));
-        if cause.is_transfer() && may_take_effect {
-            self.group.record_transfer(clock.boot_now());
-        }
-        match ordered {
-            Ok(()) => {
-                self.borders.stats.promotion("ordered");
-                self.borders.stats.promotion_cause(cause.label());
-                if !cause.is_transfer() && !self.group.is_synchronous() {
-                    self.count_rolled_back(&candidate);
-                }
-                log::info!(group = self.group.name.as_str(), member = claim.member.as_str(), token = token.0; "G0717 a promotion has been ordered");
-                self.wait_for_leader(&claim.member).await;
-                if self.group.is_leader(&claim.member) {
-                    // The platform refuses all orders with a lower token from now on, and one that is carried out again
-                    // with this token changes nothing.
-                    self.group.record_settled(token, claim.member.clone());
-                }
-            }
-            Err(PromoteError::NoAnswer(reason)) => {
-                self.borders.stats.promotion("unanswered");
-                self.borders.stats.promotion_cause(cause.label());
-                // The order may still be carried out. A repeated order has no further effect.
-                log::warn!(group = self.group.name.as_str(), token = token.0, reason = reason.as_str(); "G0718 the platform did not answer the order of a promotion");
-                self.wait_until(|| {
-                    self.group.is_leader(&claim.member)
-                        || self.failover_cause() == Some(FailoverCause::Unsettled)
-                })
-                .await;
-            }
-            Err(err) => {
-                self.borders.stats.promotion("refused");
-                self.back_off(cause, "promoting", &err.to_string()).await;
-            }
-        }
-    }
-
-    /// Orders the promotion, and repeats the order with the same token while no answer arrives.
-    ///
-    /// Repeating is safe: a second execution changes nothing, and a late one has no effect once a higher token was
-    /// used. Without the repetition, a lost order would leave the group without a leader until the next claim.
-    async fn order_promotion(
-        &self,
-        cause: FailoverCause,
-        claim: &Claim,
-        token: FencingToken,
-    ) -> Result<(), PromoteError> {
-        let mut attempts = 1;
-        loop {
-            self.record_act(token);
-            let ordered = self.borders.promoter.promote(&self.group.name, claim, token).await;
-            let Err(PromoteError::NoAnswer(reason)) = &ordered else { return ordered };
-            // Meanwhile a leader may have answered, or another instance may have acted.
-            if attempts == MAX_ORDER_ATTEMPTS || !self.is_needed(cause) || !self.can_act() {
-                return ordered;
-            }
-            log::info!(group = self.group.name.as_str(), token = token.0, reason = reason.as_str(), tries = attempts; "G0759 the platform did not answer the order of a promotion; it is repeated");
-            attempts += 1;
-        }
-    }
-
-    /// Whether an order is still needed that was begun because of `cause`. A leader that answers again needs no successor,
-    /// although earlier orders may have to be made void.
-    pub(crate) fn is_needed(&self, cause: FailoverCause) -> bool {
-        let current = self.failover_cause();
-        let is_settlement = |it: FailoverCause| it == FailoverCause::Unsettled;
-        current.is_some_and(|it| is_settlement(it) == is_settlement(cause))
-    }
-
-    /// Records that this instance acts with `token`. Heartbeats report it to the others, which then wait for the
-    /// lease to end.
-    pub(crate) fn record_act(&self, token: FencingToken) {
-        self.group.claims().record_act(token, self.own.clone(), self.borders.clock.boot_now());
-        self.group.notify();
-    }
-
-    /// Counts the commits beyond the end of the candidate's log, which the promotion may roll back.
-    fn count_rolled_back(&self, candidate: &Candidate) {
-        let (Some(newest), Some(end)) = (self.group.newest_position_sample(), candidate.point)
-        else {
-            return;
-        };
-        let missing = newest.point.position.0.saturating_sub(end.position.0);
-        if newest.point.term == end.term && missing > 0 {
-            log::warn!(group = self.group.name.as_str(), commits = missing; "G0744 a failover may roll back acknowledged commits");
-            self.borders.stats.rolled_back(missing);
-        }
-    }
-
-    fn new_claim(&self, cause: FailoverCause, candidate: &Candidate) -> Claim {
-        Claim {
-            holder: self.own.clone(),
-            member: candidate.member.clone(),
-            nonce: format!("{:016x}", self.borders.entropy.next_u64()),
-            over_term: self.superseded_term(cause),
-        }
-    }
-
-    /// The newest term that an order because of `cause` supersedes. An order of the present leader begins no term, so
-    /// later candidates need a log that reaches into the leader's own term.
-    fn superseded_term(&self, cause: FailoverCause) -> Term {
-        let newest = self.group.newest_term();
-        if cause == FailoverCause::Unsettled { Term(newest.0.saturating_sub(1)) } else { newest }
-    }
-
-    /// Obtains the claim and returns its token; `None` if another instance holds it or the store failed.
-    async fn obtain_claim(
-        &self,
-        cause: FailoverCause,
-        claim: &Claim,
-        over: Option<FencingToken>,
-    ) -> Option<FencingToken> {
-        let name = &self.group.name;
-        match self.borders.claims.claim(name, claim.clone(), over).await {
-            Ok(token) => Some(token),
-            Err(ClaimError::Taken(token)) => {
-                log::info!(group = name.as_str(), token = token.0; "G0719 another instance holds the claim and promotes");
-                self.wait_for_recovery().await;
-                None
-            }
-            Err(ClaimError::NoAnswer(_)) => match self.borders.claims.current(name).await {
-                Ok(Some(found)) if found.claim.as_ref() == Some(claim) => Some(found.token),
-                Ok(_) => None,
-                Err(err) => {
-                    self.back_off(cause, "reading the claim back", &err.to_string()).await;
-                    None
-                }
-            },
-            Err(err) => {
-                self.back_off(cause, "claiming", &err.to_string()).await;
-                None
-            }
-        }
-    }
-
-    /// Logs the failed step and waits before the next attempt.
-    async fn back_off(&self, cause: FailoverCause, what: &str, reason: &str) {
-        log::warn!(group = self.group.name.as_str(), what = what, reason = reason; "G0720 replacing a leader failed");
-        let clock = &self.borders.clock;
-        let is_served = cause.is_transfer() || cause == FailoverCause::Unsettled;
-        let delay = if is_served { SERVED_RETRY_DELAY } else { RETRY_DELAY };
-        clock.sleep_until(clock.now() + delay).await;
-    }
-
-    /// Waits until `member` leads, or until the promotion timeout.
-    async fn wait_for_leader(&self, member: &MemberName) {
-        self.wait_until(|| self.group.is_leader(member)).await;
-    }
-
-    /// Waits until no other leader is needed any more, or until the promotion timeout.
-    async fn wait_for_recovery(&self) {
-        self.wait_until(|| self.failover_cause().is_none()).await;
-    }
-
-    async fn wait_until(&self, is_reached: impl Fn() -> bool) {
-        let clock = &self.borders.clock;
-        let deadline = clock.now() + PROMOTION_TIMEOUT;
-        while clock.now() < deadline && !is_reached() {
-            self.group.request_check();
-            clock.sleep_until(clock.now() + CHECK_INTERVAL).await;
-        }
-    }
 }
--- a/crates/gullspar_direct/src/groups/group.rs
+++ b/crates/gullspar_direct/src/groups/group.rs
@@ -7,34 +7,16 @@
 
 use event_listener::{Event, EventListener};
 use gullspar_border::BootInstant;
-use gullspar_membership::DEAD_COUNTED_PERIOD;
-use gullspar_model::{GroupName, InstanceId, LogPoint, MemberName, Term};
+use gullspar_model::{GroupName, LogPoint, MemberName, Term};
 
 use crate::groups::acknowledged_commits::AcknowledgedCommits;
-use crate::groups::commit_report::{CommitReport, ReceivedCommitReports};
+use crate::groups::commit_report::ReceivedCommitReports;
 use crate::groups::failover_timing;
-use crate::groups::leader_load::{LeaderLoad, RequestEnd};
+use crate::groups::leader_load::LeaderLoad;
 use crate::groups::received_reports::ReceivedReports;
-use crate::groups::successors::Successors;
-use crate::groups::usual_durations::{StatementKind, UsualDurations};
+use crate::groups::usual_durations::UsualDurations;
 use crate::targets::target::Target;
-use crate::{
-    ClaimTracker, FencingToken, GroupView, LeaderHealth, LeaderReport, NewestAcknowledged,
-    PositionSample, PositionSamples, Settlement,
-};
-
-/// A replica lags if it lacks what the leader had this long ago.
-///
-/// Replicas usually lag by less than half a second, their positions are known with a delay of 0.1 to 0.4 s, and reads
-/// from replicas need data that is at least 1.5 s old.
-const LAG_LIMIT: Duration = Duration::from_secs(1);
-
-/// How long a transfer is reported even if there is nothing else to report; covers several lost reports.
-const TRANSFER_REPORT_PERIOD: Duration = Duration::from_secs(2);
-
-/// A report that makes the last transfer younger by less than this is about the same transfer. The time that reports are in
-/// transit makes it look younger each time it is passed on.
-const SAME_TRANSFER_PERIOD: Duration = Duration::from_secs(5);
+use crate::{ClaimTracker, GroupView, LeaderHealth, PositionSample, PositionSamples};
 
 /// The leader of a group, as the member itself reported it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -47,9 +29,9 @@
 pub struct Group {
     pub(crate) name: GroupName,
     /// Since when this instance serves the group.
-    served_since: BootInstant,
-    targets: RefCell<BTreeMap<MemberName, Rc<Target>>>,
-    leader: RefCell<Option<Leader>>,
+    pub(super) served_since: BootInstant,
+    pub(super) targets: RefCell<BTreeMap<MemberName, Rc<Target>>>,
+    pub(super) leader: RefCell<Option<Leader>>,
     /// The highest term in which a leader answered.
     newest_term: Cell<Term>,
     leaderless_since: Cell<Instant>,
@@ -61,28 +43,24 @@
     last_leader: RefCell<Option<MemberName>>,
     /// Since when this instance has had no responsive leader, as of the last refresh.
     leader_unavailable_since: Cell<Option<Instant>>,
-    position_samples: RefCell<PositionSamples>,
+    pub(super) position_samples: RefCell<PositionSamples>,
     /// Counts the changes of the leader that this instance has seen.
     leadership: Cell<u64>,
-    usual_durations: RefCell<UsualDurations>,
+    pub(super) usual_durations: RefCell<UsualDurations>,
     /// What callers of this instance lose at the current leader.
-    leader_load: RefCell<LeaderLoad>,
-    leader_reports: RefCell<ReceivedReports>,
+    pub(super) leader_load: RefCell<LeaderLoad>,
+    pub(super) leader_reports: RefCell<ReceivedReports>,
     /// When the last transfer known was ordered.
-    transferred_at: Cell<Option<BootInstant>>,
-    acknowledged: RefCell<AcknowledgedCommits>,
-    claims: RefCell<ClaimTracker>,
+    pub(super) transferred_at: Cell<Option<BootInstant>>,
+    pub(super) acknowledged: RefCell<AcknowledgedCommits>,
+    pub(super) claims: RefCell<ClaimTracker>,
     /// Whether members acknowledge a commit only once a replica has received it. Such a group promotes only a member
     /// that has all acknowledged commits.
-    is_synchronous: Cell<bool>,
-    /// The newest commit that this instance has acknowledged.
-    newest_acknowledged: Cell<Option<LogPoint>>,
+    pub(super) is_synchronous: Cell<bool>,
     /// What the other homes have acknowledged.
-    commit_reports: RefCell<ReceivedCommitReports>,
+    pub(super) commit_reports: RefCell<ReceivedCommitReports>,
     /// A commit that no replica has received in time.
-    stalled_at: Cell<Option<LogPoint>>,
-    /// Whether a member was removed that an order may still make the leader.
-    has_lost_successor: Cell<bool>,
+    pub(super) stalled_at: Cell<Option<LogPoint>>,
     /// How long a replica typically needs to receive a commit, in microseconds.
     typical_lag_us: Cell<u64>,
     /// When replicas are no longer considered too far behind for writes to wait for them.
@@ -126,10 +104,8 @@
             acknowledged: RefCell::default(),
             claims: RefCell::new(ClaimTracker::new(lease)),
             is_synchronous: Cell::new(false),
-            newest_acknowledged: Cell::new(None),
             commit_reports: RefCell::default(),
             stalled_at: Cell::new(None),
-            has_lost_successor: Cell::new(false),
             typical_lag_us: Cell::new(0),
             lagging_until: Cell::new(None),
             connection_limit_hit_at: Cell::new(None),
@@ -150,8 +126,7 @@
         if let Some(target) = self.targets.borrow_mut().remove(member) {
             target.removed.set(true);
             target.pool.close();
-            let is_open = self.claims.borrow().has_open_claim();
-            self.has_lost_successor.set(self.has_lost_successor.get() || is_open);
+            self.claims.borrow_mut().record_unlisted_member();
         }
         self.notify();
     }
@@ -164,6 +139,17 @@
         self.targets.borrow().values().cloned().collect()
     }
 
+    /// All listed members but the leader.
+    pub(crate) fn other_members(&self) -> Vec<Rc<Target>> {
+        let targets = self.targets.borrow();
+        targets.values().filter(|it| !self.is_leader(&it.member())).cloned().collect()
+    }
+
+    /// The other members that answer and stay. One of them may become the next leader.
+    pub(crate) fn staying_replicas(&self) -> Vec<Rc<Target>> {
+        self.other_members().into_iter().filter(|it| it.is_staying()).collect()
+    }
+
     /// The recent mean duration of a statement on the fastest of the group's targets; `None` if none has
     /// answered a statement yet.
     pub(crate) fn fastest_mean(&self) -> Option<Duration> {
@@ -362,172 +348,6 @@
     /// Records that a commit was acknowledged.
     pub(crate) fn record_acknowledged(&self, point: LogPoint) {
         self.acknowledged.borrow_mut().record(point);
-        self.newest_acknowledged.set(self.newest_acknowledged.get().max(Some(point)));
-    }
-
-    /// What this instance reports to the other homes about claims and commits.
-    pub(crate) fn commit_report(&self, now: BootInstant) -> CommitReport {
-        let claims = self.claims.borrow();
-        CommitReport {
-            group: self.name.clone(),
-            claim: claims.token(),
-            settled: claims.settled().cloned(),
-            acknowledged: self.newest_acknowledged.get(),
-            is_complete: now.since(self.served_since) >= DEAD_COUNTED_PERIOD,
-        }
-    }
-
-    /// Applies a report of another home.
-    pub(crate) fn apply_commit_report(&self, from: InstanceId, report: CommitReport) {
-        if let Some(settlement) = report.settled.clone() {
-            self.change_settlement(|it| it.record_settled(settlement));
-        }
-        self.commit_reports.borrow_mut().record(from, report);
-    }
-
-    /// The newest commit that this instance or one of `others` has acknowledged, as far as they know of the claim with
-    /// `token`.
-    pub(crate) fn newest_acknowledged(
-        &self,
-        others: &[InstanceId],
-        token: FencingToken,
-        now: BootInstant,
-    ) -> NewestAcknowledged {
-        let own = self.commit_report(now);
-        self.commit_reports.borrow_mut().newest_acknowledged(&own, others, token)
-    }
-
-    /// Records that no replica has received the commit at `point` in time.
-    pub(crate) fn record_stalled(&self, point: LogPoint) {
-        self.stalled_at.set(self.stalled_at.get().max(Some(point)));
-    }
-
-    /// Whether no replica receives what the leader commits, so that another commit could not be acknowledged either.
-    pub(crate) fn is_stalled(&self, successors: &Successors) -> bool {
-        let Some(point) = self.stalled_at.get() else { return false };
-        let leader = self.leader().and_then(|it| self.target(&it.member));
-        let is_on_leader = leader.is_some_and(|it| it.has_commit(point));
-        let is_stalled = is_on_leader && !successors.have(point);
-        if !is_stalled {
-            self.stalled_at.set(None);
-        }
-        is_stalled
-    }
-
-    /// Records a request whose last attempt was on `member`. It is displaced if replicas could have served it.
-    pub(crate) fn record_request(
-        &self,
-        member: &MemberName,
-        end: RequestEnd,
-        is_displaced: bool,
-        now: BootInstant,
-    ) {
-        if self.is_leader(member) {
-            self.leader_load.borrow_mut().record_request(end, is_displaced, now);
-        }
-    }
-
-    /// Records a statement that `member` answered after `took`.
-    pub(crate) fn record_run(
-        &self,
-        member: &MemberName,
-        kind: StatementKind,
-        took: Duration,
-        now: BootInstant,
-    ) {
-        let ratio = self.usual_durations.borrow_mut().record(kind, took);
-        let on_leader = self.is_leader(member);
-        self.leader_load.borrow_mut().runs_mut(on_leader).record_answer(ratio, now);
-    }
-
-    /// Records a statement that `member` refused as congested, or failed or did not answer.
-    pub(crate) fn record_failed_run(
-        &self,
-        member: &MemberName,
-        is_refused: bool,
-        now: BootInstant,
-    ) {
-        let on_leader = self.is_leader(member);
-        self.leader_load.borrow_mut().runs_mut(on_leader).record_failure(is_refused, now);
-    }
-
-    /// What this instance reports about the current leader; `None` if there is nothing to report.
-    pub(crate) fn leader_report(&self, now: BootInstant) -> Option<LeaderReport> {
-        let leader = self.leader()?.member;
-        let load = *self.leader_load.borrow();
-        let transferred_ago = self.transferred_ago(now);
-        let (is_lagging, is_impaired) = (self.are_replicas_lagging(now), load.is_impaired(now));
-        let is_transferred = transferred_ago.is_some_and(|it| it < TRANSFER_REPORT_PERIOD);
-        (is_lagging || is_impaired || is_transferred).then(|| LeaderReport {
-            group: self.name.clone(),
-            leader,
-            is_lagging,
-            is_impaired,
-            requests_per_s: load.requests_per_s(now).round() as u32,
-            lost_per_s: load.lost_per_s(now).round() as u32,
-            displaced_per_s: load.displaced_per_s(now).round() as u32,
-            transferred_ms_ago: transferred_ago
-                .map(|it| u32::try_from(it.as_millis()).unwrap_or(u32::MAX)),
-        })
-    }
-
-    /// The report that ends this instance's last one, if that is still valid and reported trouble that has ended.
-    pub(crate) fn retraction(&self, own: &InstanceId, now: BootInstant) -> Option<LeaderReport> {
-        let reports = self.leader_reports.borrow();
-        let (_, last) = reports.valid(now).find(|(from, _)| *from == own)?;
-        let had_trouble = last.is_lagging || last.is_impaired;
-        had_trouble.then(|| LeaderReport { is_lagging: false, is_impaired: false, ..last.clone() })
-    }
-
-    /// Whether a replica lacks what the leader had [`LAG_LIMIT`] ago.
-    pub(crate) fn is_lagging(&self, target: &Target, now: BootInstant) -> bool {
-        let sample = self.position_samples.borrow().newest_before(now.minus(LAG_LIMIT));
-        let lacks = |it: PositionSample| target.point() < Some(it.point);
-        sample.is_some_and(lacks) && !self.is_leader(&target.member())
-    }
-
-    /// Whether each replica that answers lacks what the leader had [`LAG_LIMIT`] ago.
-    fn are_replicas_lagging(&self, now: BootInstant) -> bool {
-        let targets = self.targets.borrow();
-        let is_usable = |it: &&Rc<Target>| {
-            !self.is_leader(&it.member())
-                && !it.spec().leaving
-                && !it.is_unresponsive()
-                && it.has_responded()
-        };
-        let mut replicas = targets.values().filter(is_usable).peekable();
-        replicas.peek().is_some() && replicas.all(|it| self.is_lagging(it, now))
-    }
-
-    /// Records a report about the leader, of this or another instance.
-    pub(crate) fn record_report(&self, from: InstanceId, report: LeaderReport, now: BootInstant) {
-        if let Some(ms) = report.transferred_ms_ago {
-            let at = now.minus(Duration::from_millis(u64::from(ms)));
-            if self.transferred_at.get().is_none_or(|it| at > it.plus(SAME_TRANSFER_PERIOD)) {
-                self.transferred_at.set(Some(at));
-            }
-        }
-        if self.leader_reports.borrow_mut().record(from, report, now) {
-            self.notify();
-        }
-    }
-
-    /// The valid reports about the current leader, each with its sender.
-    pub(crate) fn leader_reports(&self, now: BootInstant) -> Vec<(InstanceId, LeaderReport)> {
-        let reports = self.leader_reports.borrow();
-        let current = reports.valid(now).filter(|(_, it)| self.is_leader(&it.leader));
-        current.map(|(from, it)| (from.clone(), it.clone())).collect()
-    }
-
-    /// Records that this instance ordered a transfer, and wakes the task that reports it.
-    pub(crate) fn record_transfer(&self, now: BootInstant) {
-        self.transferred_at.set(Some(now));
-        self.notify();
-    }
-
-    /// How long ago the last transfer known was ordered.
-    pub(crate) fn transferred_ago(&self, now: BootInstant) -> Option<Duration> {
-        Some(now.since(self.transferred_at.get()?))
     }
 
     /// The claims known for the group.
@@ -551,67 +371,6 @@
         self.claims.borrow().has_act_after(since)
     }
 
-    pub(crate) fn is_synchronous(&self) -> bool {
-        self.is_synchronous.get()
-    }
-
-    pub(crate) fn set_synchronous(&self, is_synchronous: bool) {
-        if self.is_synchronous.replace(is_synchronous) != is_synchronous {
-            log::info!(group = self.name.as_str(), synchronous = is_synchronous; "G0794 a group's commits must be received by a replica, or need not any more");
-            self.notify();
-        }
-    }
-
-    /// Whether no order to promote a member can make another one the leader any more, as far as this instance knows.
-    pub(crate) fn is_settled(&self) -> bool {
-        let leader = self.leader.borrow();
-        self.claims.borrow().is_settled(leader.as_ref().map(|it| &it.member))
-    }
-
-    /// Records that the platform has answered an order of `leader` under the claim with `token`.
-    pub(crate) fn record_settled(&self, token: FencingToken, leader: MemberName) {
-        let settlement = Settlement { token, leader: Some(leader) };
-        self.change_settlement(|it| it.record_settled(settlement));
-    }
-
-    /// Records that no order was sent under the claim with `token`, and that it was made when no claim was open.
-    pub(crate) fn record_unused(&self, token: FencingToken) {
-        self.change_settlement(|it| it.record_unused(token));
-    }
-
-    /// Records that the store has never held a claim for the group.
-    pub(crate) fn record_unclaimed(&self) {
-        self.change_settlement(|it| it.record_settled(ClaimTracker::UNCLAIMED));
-    }
-
-    fn change_settlement(&self, change: impl FnOnce(&mut ClaimTracker)) {
-        let mut claims = self.claims.borrow_mut();
-        let (was_open, known) = (claims.has_open_claim(), claims.settled().cloned());
-        change(&mut claims);
-        let (is_open, settled) = (claims.has_open_claim(), claims.settled().cloned());
-        drop(claims);
-        if !is_open {
-            self.has_lost_successor.set(false);
-        }
-        if was_open && !is_open && self.is_synchronous() {
-            log::info!(group = self.name.as_str(), settled:? = settled; "G0795 no earlier order can change a group's leader any more");
-            self.notify_progress();
-        }
-        if settled != known {
-            self.notify();
-        }
-    }
-
-    /// Records that an order may still promote a member that is not listed.
-    pub(crate) fn record_lost_successor(&self) {
-        self.has_lost_successor.set(true);
-    }
-
-    /// Whether an order may still promote a member that is not listed, so that nothing is known about its log.
-    pub(crate) fn has_lost_successor(&self) -> bool {
-        self.has_lost_successor.get()
-    }
-
     /// The view of this group to send to other instances.
     pub(crate) fn view(
         &self,
--- a/crates/gullspar_direct/src/groups/leader_transfer.rs
+++ b/crates/gullspar_direct/src/groups/leader_transfer.rs
@@ -80,9 +80,7 @@
     /// Whether a target may take over the leader role.
     fn can_succeed(&self, target: &Target) -> bool {
         !self.group.is_leader(&target.member())
-            && !target.spec().leaving
-            && !target.is_unresponsive()
-            && target.has_responded()
+            && target.is_staying()
             && !target.is_avoided(self.borders.clock.now())
     }
 
--- a/crates/gullspar_direct/src/groups/settlement.rs
+++ b/crates/gullspar_direct/src/groups/settlement.rs
@@ -8,7 +8,7 @@
 use crate::groups::candidate::Candidate;
 use crate::groups::failover::{FailoverCause, FailoverCoordinator};
 use crate::groups::failover_timing::{CHECK_INTERVAL, FAILOVER_PREPARATION_TIMEOUT};
-use crate::{Claim, CurrentClaim, FencingToken};
+use crate::{Claim, ClaimTracker, CurrentClaim, FencingToken};
 
 impl FailoverCoordinator {
     /// Whether the leader of a synchronous group answers, and an order may still make another member the leader.
@@ -27,16 +27,15 @@
     /// Records what the store holds as the claim of the group.
     pub(crate) fn record_current_claim(&self, current: Option<&CurrentClaim>) {
         let Some(CurrentClaim { token, claim }) = current else {
-            self.group.record_unclaimed();
+            self.group.update_settlement(|it| it.record_settled(ClaimTracker::UNCLAIMED));
             return;
         };
         // An object that is no claim was written by nobody who gives orders.
         let holder: InstanceId = claim.as_ref().map_or(self.own.clone(), |it| it.holder.clone());
         let now = self.borders.clock.boot_now();
         self.group.claims().record_observed(*token, holder, now);
-        let is_listed = claim.as_ref().is_none_or(|it| self.group.target(&it.member).is_some());
-        if !is_listed && self.group.claims().has_open_claim() {
-            self.group.record_lost_successor();
+        if claim.as_ref().is_some_and(|it| self.group.target(&it.member).is_none()) {
+            self.group.claims().record_unlisted_member();
         }
     }
 
@@ -89,7 +88,7 @@
                     reason = "recovered";
                     break;
                 }
-                let chosen = self.choose_successor(previous, token, is_first).await;
+                let chosen = self.select_complete_successor(previous, token, is_first).await;
                 if chosen.is_some() {
                     return chosen;
                 }
--- a/crates/gullspar_direct/src/groups/successors.rs
+++ b/crates/gullspar_direct/src/groups/successors.rs
@@ -12,7 +12,8 @@
 
 /// The members that may lead a synchronous group next, and what is known about the choice between them.
 pub(crate) enum Successors {
-    /// The next leader is chosen by [`choose_successor`], which considers all these logs.
+    /// The next leader is chosen by [`choose_successor`], which considers the logs of these members among others. One that is
+    /// leaving does not count here: its log may go with it.
     Chosen(Vec<Rc<Target>>),
     /// An order may have been sent already, and any of these members may be the one that it names.
     Ordered(Vec<Rc<Target>>),
@@ -23,38 +24,31 @@
 impl Successors {
     /// The members that may lead `group` next. `may_be_ordered` tells whether an order may be on its way.
     pub(crate) fn of(group: &Group, may_be_ordered: bool) -> Successors {
-        let others =
-            || group.targets().into_iter().filter(|it| !group.is_leader(&it.member())).collect();
-        if group.has_lost_successor() {
+        if group.claims().has_lost_successor() {
             Successors::Unknown
         } else if may_be_ordered || !group.is_settled() {
-            Successors::Ordered(others())
+            Successors::Ordered(group.other_members())
         } else {
-            Successors::Chosen(others())
+            Successors::Chosen(group.staying_replicas())
         }
     }
 
     /// Whether the next leader is certain to have the commit at `point`.
-    ///
-    /// A member that is leaving does not count among those of which one is chosen: when it leaves, its log may go with it.
     pub(crate) fn have(&self, point: LogPoint) -> bool {
-        match self {
-            Successors::Chosen(members) => {
-                members.iter().any(|it| can_keep_commits(it) && it.has_commit(point))
-            }
-            Successors::Ordered(members) => {
-                !members.is_empty() && members.iter().all(|it| it.has_commit(point))
-            }
-            Successors::Unknown => false,
-        }
+        self.are_enough(|it| it.has_commit(point))
     }
 
     /// Whether enough members answer for a commit to be confirmed.
     pub(crate) fn can_confirm(&self) -> bool {
+        self.are_enough(Target::is_answering)
+    }
+
+    /// Whether those members of which `holds` is true are certain to include the next leader, or one whose log it will have.
+    fn are_enough(&self, holds: impl Fn(&Target) -> bool) -> bool {
         match self {
-            Successors::Chosen(members) => members.iter().any(|it| can_keep_commits(it)),
+            Successors::Chosen(members) => members.iter().any(|it| holds(it)),
             Successors::Ordered(members) => {
-                !members.is_empty() && members.iter().all(|it| is_answering(it))
+                !members.is_empty() && members.iter().all(|it| holds(it))
             }
             Successors::Unknown => false,
         }
@@ -68,14 +62,6 @@
     }
 }
 
-fn can_keep_commits(target: &Target) -> bool {
-    is_answering(target) && !target.spec().leaving
-}
-
-fn is_answering(target: &Target) -> bool {
-    !target.is_unresponsive() && target.has_responded()
-}
-
 record! {
     /// What is known about the end of a member's log.
     #[derive(Copy)]
--- a/crates/gullspar_direct/src/reading/target_selection.rs
+++ b/crates/gullspar_direct/src/reading/target_selection.rs
@@ -53,7 +53,7 @@
     let cheapest = |include_avoided: bool| {
         targets
             .iter()
-            .filter(|it| !it.is_unresponsive() && it.has_responded())
+            .filter(|it| it.is_answering())
             .filter(|it| !criteria.tried.contains(&it.member()))
             .filter(|it| include_avoided || !it.is_avoided(criteria.now))
             .filter(|it| can_serve(group, it, criteria))
--- a/crates/gullspar_direct/src/targets/target.rs
+++ b/crates/gullspar_direct/src/targets/target.rs
@@ -226,6 +226,16 @@
         self.missed_checks.get() >= UNRESPONSIVE_AFTER_MISSES
     }
 
+    /// Whether the target has answered, and answered its last checks.
+    pub(crate) fn is_answering(&self) -> bool {
+        self.has_responded() && !self.is_unresponsive()
+    }
+
+    /// Whether the target answers and has not announced that it will leave.
+    pub(crate) fn is_staying(&self) -> bool {
+        self.is_answering() && !self.spec.borrow().leaving
+    }
+
     /// Whether the target answered anything since `instant`.
     pub(crate) fn has_responded_since(&self, instant: BootInstant) -> bool {
         self.last_response_at.get().is_some_and(|at| at >= instant)
--- a/crates/gullspar_direct/src/writing/confirmation.rs
+++ b/crates/gullspar_direct/src/writing/confirmation.rs
@@ -109,7 +109,7 @@
                 return status;
             }
             let now = clock.now();
-            if now >= leader_only_at || successor_candidates(group).is_empty() {
+            if now >= leader_only_at || group.staying_replicas().is_empty() {
                 if group.leader().is_some() && !self.still_leads(group, commit).await {
                     return CommitStatus::Superseded;
                 }
@@ -206,7 +206,7 @@
             let successors = self.successors(group);
             return !group.is_stalled(&successors) && (is_recent || successors.can_confirm());
         }
-        let (candidates, others) = (successor_candidates(group), other_members(group));
+        let (candidates, others) = (group.staying_replicas(), group.other_members());
         let can_be_replicated =
             match self.is_leader_confirmed(group, now) || group.led_for(now) < NEW_LEADER_PERIOD {
                 true => !candidates.is_empty(),
@@ -243,11 +243,11 @@
         // Any of the replicas may replace a leaving leader, so all of them need the commit. Another instance that replaces
         // the leader may also promote a member that does not answer here.
         let is_replicated = if group.is_leader_leaving() {
-            have_all(&successor_candidates(group), point)
+            have_all(&group.staying_replicas(), point)
         } else if group.is_being_replaced(now) || !self.is_leader_confirmed(group, now) {
-            have_all(&other_members(group), point)
+            have_all(&group.other_members(), point)
         } else {
-            successor_candidates(group).iter().any(|it| it.has_commit(point))
+            group.staying_replicas().iter().any(|it| it.has_commit(point))
         };
         is_replicated.then_some(CommitStatus::Replicated)
     }
@@ -271,7 +271,7 @@
     fn can_acknowledge_alone(&self, group: &Group, started: BootInstant) -> bool {
         let Some(leader) = group.leader() else { return false };
         let now = self.borders.clock.boot_now();
-        let replicas = successor_candidates(group);
+        let replicas = group.staying_replicas();
         let views_since = if replicas.iter().any(|it| it.has_responded_since(started)) {
             // A replica answers, so the replicas only lag.
             BootInstant::MACHINE_START
@@ -329,29 +329,13 @@
     successors.have(commit.point).then_some(CommitStatus::Replicated)
 }
 
-/// All listed members but the leader.
-fn other_members(group: &Group) -> Vec<Rc<Target>> {
-    group.targets().into_iter().filter(|it| !group.is_leader(&it.member())).collect()
-}
-
-/// The replicas that may become the next leader.
-fn successor_candidates(group: &Group) -> Vec<Rc<Target>> {
-    let can_lead = |it: &Rc<Target>| {
-        !group.is_leader(&it.member())
-            && !it.spec().leaving
-            && !it.is_unresponsive()
-            && it.has_responded()
-    };
-    group.targets().into_iter().filter(can_lead).collect()
-}
-
 /// Asks the replicas that are not known to have the commit where their logs end.
 ///
 /// While the leader is being replaced, they are also asked what they have received: replicas that apply commits late
 /// would otherwise confirm nothing until the new leader is known.
 fn poll_replicas(borders: &Borders, group: &Rc<Group>, point: LogPoint) {
     let asks_received = group.is_being_replaced(borders.clock.boot_now());
-    poll_members(borders, group, &successor_candidates(group), point, asks_received);
+    poll_members(borders, group, &group.staying_replicas(), point, asks_received);
 }
 
 /// Asks `members` that are not known to have the commit at `point` where their logs end, and if `asks_received` also what
--- a/crates/gullspar_direct/tests/support/mod.rs
+++ b/crates/gullspar_direct/tests/support/mod.rs
@@ -182,17 +182,16 @@
 
     /// Instances `1..=count` that know the leader and have run long enough to replace it.
     pub async fn instances(&self, count: u16) -> Vec<Rc<Proxy>> {
-        let proxies: Vec<Rc<Proxy>> = (1..=count).map(|it| self.instance(it)).collect();
-        for proxy in &proxies {
-            self.wait_for_leader(proxy).await;
-        }
-        pause(STARTUP_PERIOD_MS).await;
-        proxies
+        self.instances_with_catalogue(count, &catalogue(1)).await
     }
 
     /// Like [`World::instances`], for a group whose members acknowledge a commit only once a replica has received it.
     pub async fn synchronous_instances(&self, count: u16) -> Vec<Rc<Proxy>> {
-        let start = |it| self.instance_with_catalogue(it, synchronous_catalogue(1));
+        self.instances_with_catalogue(count, &synchronous_catalogue(1)).await
+    }
+
+    async fn instances_with_catalogue(&self, count: u16, catalogue: &Catalogue) -> Vec<Rc<Proxy>> {
+        let start = |it| self.instance_with_catalogue(it, catalogue.clone());
         let proxies: Vec<Rc<Proxy>> = (1..=count).map(start).collect();
         for proxy in &proxies {
             self.wait_for_leader(proxy).await;
