Let the handlers of signals only write to a pipe

A second SIGTERM ended an instance that was shutting down, with its callers' requests: the related path of a second SIGHUP, whose listener was mended before. And that mend was too shallow. Its test failed in 2 of some 110 runs: once the process was ended by signal 1 all the same, once it read its settings 671 times and then no more.

Cause, by reading the runtime's code once the two symptoms were seen: its handler wakes the waiting task. On the runtime's own thread, inside the handler, the waker changes the queue of tasks, which the interrupted code may be changing, too. So a signal can lose a task: that which reads the settings, or with it the listener that kept the handler. A SIGTERM had the same risk.

Now signal-hook's handlers write a byte to a pipe that a task reads, and stay to the end of the process, so nothing has to keep them. A SIGTERM that follows the first has no effect; a second SIGINT still ends the process at once. That SIGHUP can't be handled is logged (G0819).

Measured: `a_repeated_termination_signal_does_not_cut_off_a_shutdown` failed before (ended by signal 15) and passes. Both tests of `signals.rs` in a row on this code: 120 of 120 runs passed.

--- a/crates/gullspar/src/serve.rs
+++ b/crates/gullspar/src/serve.rs
@@ -1,9 +1,10 @@
 //! Runs an instance that connects to its targets directly.
 
-use std::path::PathBuf;
+use std::io;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use gullspar_instance::HangupSignals;
+use gullspar_instance::Signals;
 use gullspar_settings::DirectSettings;
 use gullspar_telemetry::{BoundedAppend, LineWriter};
 use logforth::filter::rustlog::RustLogFilterBuilder;
@@ -12,7 +13,7 @@
 
 /// Runs the instance that the settings in `file` describe; returns the exit code of the process.
 pub(crate) fn serve(file: PathBuf) -> ExitCode {
-    let hangups = HangupSignals::listen();
+    let hangups = Signals::hangups();
     let settings = match check::read_direct(&file) {
         Ok(settings) => settings,
         Err(findings) => {
@@ -21,7 +22,7 @@
         }
     };
     let filter = RustLogFilterBuilder::from_default_env_or("info,tarpc=warn").build();
-    let append = BoundedAppend::new(LineWriter::start(std::io::stdout()));
+    let append = BoundedAppend::new(LineWriter::start(io::stdout()));
     logforth::starter_log::builder().dispatch(|it| it.filter(filter).append(append)).apply();
     let runtime = match compio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
@@ -31,7 +32,13 @@
         }
     };
     let result = runtime.block_on(async move {
-        compio::runtime::spawn(reload_on_hangup(hangups, file, settings.clone())).detach();
+        let initial = settings.clone();
+        compio::runtime::spawn(async move {
+            if let Err(err) = reload_on_hangup(hangups, &file, initial).await {
+                log::error!(reason = err.to_string().as_str(); "G0819 SIGHUP can't be handled; the settings are not reloaded");
+            }
+        })
+        .detach();
         gullspar_platform::serve(settings, gullspar_instance::termination_signal()).await
     });
     log::logger().flush();
@@ -44,14 +51,23 @@
     }
 }
 
-/// Reads the settings again at each SIGHUP and logs whether they have changed; never returns.
+/// Reads the settings again at each SIGHUP and logs whether they have changed.
 ///
 /// The running instance keeps the settings with which it started, since addresses and names can't
 /// change while it runs.
-async fn reload_on_hangup(mut hangups: HangupSignals, file: PathBuf, mut settings: DirectSettings) {
+///
+/// # Errors
+///
+/// Returns only if SIGHUP can't be handled.
+async fn reload_on_hangup(
+    hangups: io::Result<Signals>,
+    file: &Path,
+    mut settings: DirectSettings,
+) -> io::Result<()> {
+    let mut hangups = hangups?;
     loop {
-        hangups.next().await;
-        match check::read_direct(&file) {
+        hangups.next().await?;
+        match check::read_direct(file) {
             Ok(reloaded) if reloaded == settings => {
                 log::info!("G0811 the settings were reloaded and have not changed");
             }
--- a/crates/gullspar_instance/src/lib.rs
+++ b/crates/gullspar_instance/src/lib.rs
@@ -7,4 +7,4 @@
 
 pub use gullspar_net::enter_timer_context;
 pub use instance::{Instance, InstanceError, InstanceTiming, system_borders};
-pub use termination::{HangupSignals, termination_signal};
+pub use termination::{Signals, termination_signal};
--- a/crates/gullspar_instance/src/termination.rs
+++ b/crates/gullspar_instance/src/termination.rs
@@ -1,62 +1,73 @@
 //! Waits for the signals that shut a process down or make it reload its settings.
 
-use std::io;
-use std::task::{Context, Poll, Waker};
+use std::io::{self, PipeReader, Read};
 
-use futures::FutureExt;
-use futures::future::{self, LocalBoxFuture};
+use compio::runtime::fd::PollFd;
+use futures::future;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::low_level;
 
-/// `SIGINT` and `SIGTERM` on Linux.
-const INTERRUPT: i32 = 2;
-const TERMINATE: i32 = 15;
+/// Number of signals that are taken together if they arrive before they are waited for.
+const MAX_COALESCED: usize = 64;
 
-/// `SIGHUP` on Linux.
-const HANG_UP: i32 = 1;
-
-type Listener = LocalBoxFuture<'static, io::Result<()>>;
-
-/// The SIGHUPs that the process receives. Operators send them after changing the settings file.
+/// The signals of one kind that the process receives.
 ///
-/// From the creation of this value on, no SIGHUP ends the process.
-pub struct HangupSignals {
-    next: Listener,
-    /// A listener that is never awaited. The runtime restores the default action, which ends the process, as soon as the last
-    /// listener is gone, and a listener is gone with its first signal.
-    _keeper: Listener,
+/// From the creation of this value to the end of the process, none of them has its default action. Their handler only writes
+/// to a pipe: a handler that wakes a task corrupts the runtime's queue if it interrupts the runtime itself.
+pub struct Signals {
+    received: PollFd<PipeReader>,
 }
 
-impl HangupSignals {
-    /// Starts to listen.
-    pub fn listen() -> HangupSignals {
-        HangupSignals { next: start_listener(), _keeper: start_listener() }
+impl Signals {
+    /// Starts to receive SIGHUP, which operators send after changing the settings file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the signal can't be handled.
+    pub fn hangups() -> io::Result<Signals> {
+        Signals::receive(SIGHUP)
     }
 
-    /// Waits for the next SIGHUP. Signals that arrive before the next call end that call's wait. If the signal can't be
-    /// handled, this never returns.
-    pub async fn next(&mut self) {
-        if (&mut self.next).await.is_err() {
-            future::pending::<()>().await;
-        }
-        self.next = start_listener();
+    fn receive(signal: i32) -> io::Result<Signals> {
+        let (reader, writer) = io::pipe()?;
+        low_level::pipe::register(signal, writer)?;
+        Ok(Signals { received: PollFd::new(reader)? })
     }
-}
 
-/// A listener that is registered already.
-fn start_listener() -> Listener {
-    let mut listener = compio::signal::unix::signal(HANG_UP).boxed_local();
-    let mut cx = Context::from_waker(Waker::noop());
-    // The first poll registers it.
-    match listener.as_mut().poll(&mut cx) {
-        Poll::Ready(result) => future::ready(result).boxed_local(),
-        Poll::Pending => listener,
+    /// Waits for the next signal. Signals that arrived since the last call are taken together.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the signal can't be waited for.
+    pub async fn next(&mut self) -> io::Result<()> {
+        self.received.read_ready().await?;
+        (&*self.received).read(&mut [0; MAX_COALESCED]).map(|_| ())
     }
 }
 
 /// Waits for SIGINT or SIGTERM.
+///
+/// A SIGTERM that follows has no effect, so that the shutdown is completed. A SIGINT that follows ends the process.
 pub async fn termination_signal() {
-    let interrupt = compio::signal::unix::signal(INTERRUPT);
-    let terminate = compio::signal::unix::signal(TERMINATE);
-    futures::pin_mut!(interrupt, terminate);
-    // An error ends the wait as well, so the process stops rather than run without these signals.
-    let _ = future::select(interrupt, terminate).await;
+    let (Ok(mut interrupts), Ok(mut terminations)) =
+        (Signals::receive(SIGINT), Signals::receive(SIGTERM))
+    else {
+        // The process stops rather than run without these signals.
+        return;
+    };
+    let first = {
+        let (interrupt, terminate) = (interrupts.next(), terminations.next());
+        futures::pin_mut!(interrupt, terminate);
+        future::select(interrupt, terminate).await.factor_first().0
+    };
+    if first.is_err() {
+        return;
+    }
+    let end_at_next_interrupt = async move {
+        let _terminations = terminations;
+        if interrupts.next().await.is_ok() {
+            let _ = low_level::emulate_default_handler(SIGINT);
+        }
+    };
+    compio::runtime::spawn(end_at_next_interrupt).detach();
 }
