--- a/crates/gullspar_direct/tests/late_orders.rs
+++ b/crates/gullspar_direct/tests/late_orders.rs
@@ -88,6 +88,33 @@
     });
 }
 
+/// Guards against a late order of a transfer whose leader has recovered.
+#[test]
+fn the_order_of_a_transfer_that_is_no_longer_needed_is_made_void() {
+    run(async {
+        let world = World::new();
+        world.group.statement_duration_ms.set(40);
+        world.group.receive_lag_ms.set(60);
+        let proxies = world.synchronous_instances(3).await;
+        pause(1500).await;
+        let load = Load::start(&world, &proxies, 14, 3).await;
+        pause(500).await;
+        world.promoter.delay_orders(u32::MAX, LONG_ORDER_DELAY_MS);
+        [1, 2].into_iter().for_each(|it| world.group.inject_fault(it, Fault::AppliesLate));
+        wait_until(2 * FAILOVER_TIMEOUT_MS, "a transfer is ordered", || {
+            !world.promoter.orders().is_empty()
+        })
+        .await;
+        let ordered = if world.promoter.orders()[0].member == "m1".into() { 1 } else { 2 };
+        [1, 2].into_iter().for_each(|it| world.group.clear_faults(it));
+        world.group.inject_fault(ordered, Fault::ReplicationStopped);
+        pause(LONG_ORDER_DELAY_MS + 500).await;
+        assert_eq!(world.promoter.late_orders(), []);
+        assert_eq!(world.group.leader(), Some("m0".into()));
+        assert!(load.stop_and_check().await > 100);
+    });
+}
+
 /// Guards against commits that are lost because the instance that gave an order stops before it makes it void.
 #[test]
 fn the_order_of_an_instance_that_has_stopped_is_made_void_by_another() {
