Overload the leader clearly in the tests of transfers

Cause, from a trial with the inputs of each decision logged: the 51 callers of the test send their next statement after an answer, and one member serves nearly all of them. The runs that failed by themselves had no log.

Now six more readers at each instance join when the replicas begin to lag, in all tests that expect a transfer or a claim because of them. The bound of 6 s and all other checks are as they were.

--- a/crates/gullspar_direct/tests/leader_transfer.rs
+++ b/crates/gullspar_direct/tests/leader_transfer.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
+use futures::future;
 use gullspar_direct::Proxy;
 use support::{Fault, LATEST, Load, World, pause, run, wait_until};
 use test_case::test_case;
@@ -15,6 +16,10 @@
 const READERS: usize = 14;
 const WRITERS: usize = 3;
 
+/// More readers at each instance. With them, a leader without replicas loses so much that a transfer is clearly worth its
+/// cost; with [`READERS`] alone, it loses a quarter, near the least that is worth it.
+const ADDITIONAL_READERS: usize = 6;
+
 /// Duration of a statement, in milliseconds.
 const STATEMENT_MS: u64 = 40;
 
@@ -41,6 +46,12 @@
     (world, proxies, load)
 }
 
+/// Leaves the work of all members to the leader, and adds to it.
+async fn overload_leader(world: &World, proxies: &[Rc<Proxy>]) -> Load {
+    delay_replicas(world);
+    Load::start(world, proxies, ADDITIONAL_READERS, 0).await
+}
+
 fn delay_replicas(world: &World) {
     [1, 2].into_iter().for_each(|it| world.group.inject_fault(it, Fault::AppliesLate));
 }
@@ -55,12 +66,13 @@
 #[test_case(12; "the first queries are refused")]
 fn a_group_whose_replicas_apply_late_is_transferred(queries_to_refuse: u32) {
     run(async {
-        let (world, _proxies, load) = loaded_world(WRITERS).await;
+        let (world, proxies, load) = loaded_world(WRITERS).await;
         world.group.queries_to_refuse.set(queries_to_refuse);
-        delay_replicas(&world);
+        let additional = overload_leader(&world, &proxies).await;
         world.wait_for_new_leader("m0", TRANSFER_TIMEOUT_MS).await;
         let ran_before = world.group.executed().len();
-        pause(1000).await;
+        // Two members can't serve the additional readers as well.
+        future::join(additional.stop(), pause(1000)).await;
         let ran = world.group.executed();
         let by_old = ran[ran_before..].iter().filter(|it| it.member == "m0".into());
         assert!(by_old.count() > 20, "the old leader serves reads");
@@ -90,9 +102,9 @@
 #[test]
 fn a_leader_that_recovers_before_the_order_stays() {
     run(async {
-        let (world, _proxies, load) = loaded_world(WRITERS).await;
+        let (world, proxies, load) = loaded_world(WRITERS).await;
         world.claims.answer_delay_ms.set(600);
-        delay_replicas(&world);
+        let _additional = overload_leader(&world, &proxies).await;
         wait_until(TRANSFER_TIMEOUT_MS, "the group is claimed", || world.claims.holder().is_some())
             .await;
         restore_replicas(&world);
@@ -106,10 +118,10 @@
 #[test]
 fn of_two_instances_that_act_at_once_one_transfers() {
     run(async {
-        let (world, _proxies, load) = loaded_world(WRITERS).await;
+        let (world, proxies, load) = loaded_world(WRITERS).await;
         // An instance begins 250 ms after the one ranked before it, so all of them read the claim before one is made.
         world.claims.answer_delay_ms.set(700);
-        delay_replicas(&world);
+        let _additional = overload_leader(&world, &proxies).await;
         world.wait_for_new_leader("m0", 2 * TRANSFER_TIMEOUT_MS).await;
         pause(1500).await;
         let orders = world.promoter.orders();
@@ -123,9 +135,9 @@
 #[test]
 fn without_the_store_the_leader_stays_until_the_store_is_back() {
     run(async {
-        let (world, _proxies, load) = loaded_world(WRITERS).await;
+        let (world, proxies, load) = loaded_world(WRITERS).await;
         world.claims.unavailable.set(true);
-        delay_replicas(&world);
+        let _additional = overload_leader(&world, &proxies).await;
         pause(NO_TRANSFER_MS).await;
         assert_eq!(world.promoter.orders(), []);
         world.claims.unavailable.set(false);
@@ -139,7 +151,7 @@
 fn a_group_is_not_transferred_again_at_once() {
     run(async {
         let (world, proxies, load) = loaded_world(WRITERS).await;
-        delay_replicas(&world);
+        let _additional = overload_leader(&world, &proxies).await;
         world.wait_for_new_leader("m0", TRANSFER_TIMEOUT_MS).await;
         pause(300).await;
         (0..3).for_each(|it| world.group.inject_fault(it, Fault::AppliesLate));
@@ -200,9 +212,9 @@
 #[test]
 fn an_instance_that_starts_during_a_transfer_acknowledges_nothing_on_the_leader_alone() {
     run(async {
-        let (world, _proxies, load) = loaded_world(WRITERS).await;
+        let (world, proxies, load) = loaded_world(WRITERS).await;
         world.promoter.duration_ms.set(1000);
-        delay_replicas(&world);
+        let _additional = overload_leader(&world, &proxies).await;
         wait_until(TRANSFER_TIMEOUT_MS, "a promotion is ordered", || {
             !world.promoter.orders().is_empty()
         })
@@ -223,11 +235,11 @@
 #[test]
 fn homes_that_do_not_learn_of_the_claim_prevent_the_transfer() {
     run(async {
-        let (world, _proxies, load) = loaded_world(WRITERS).await;
+        let (world, proxies, load) = loaded_world(WRITERS).await;
         // Only the third instance can claim, and the others can't read its claim.
         [1, 2].into_iter().for_each(|it| world.claims.make_unavailable_to(it));
         world.claims.answer_delay_ms.set(300);
-        delay_replicas(&world);
+        let _additional = overload_leader(&world, &proxies).await;
         wait_until(TRANSFER_TIMEOUT_MS, "the group is claimed", || world.claims.holder().is_some())
             .await;
         // They can't receive it either, but the third one still hears them.
