Let only the homes of a group vote on its leader

A cut left all five homes of a group on the leader's side. Five instances on the other side got no answer from the homes, served the group themselves and promoted a replica 0.96 s after the cut, while the homes went on acknowledging commits on the leader that they still confirmed.

Cause: a majority about a group was counted over the instances that had sent a view of it. An instance that serves a group only because it doesn't reach its homes has never received one of theirs, so such instances were a majority by themselves.

Now the homes by the list of members vote, and those earlier ones that still send views or have died; each home counts until it is declared dead, whether or not it was heard. An instance that is no home replaces no leader, and confirms one only with the homes. Where every instance is a home nothing changes.

--- a/crates/gullspar_direct/src/fleet/heartbeats.rs
+++ b/crates/gullspar_direct/src/fleet/heartbeats.rs
@@ -105,7 +105,9 @@
         let mut group_peers: BTreeMap<SocketAddr, BTreeSet<GroupName>> = BTreeMap::new();
         for group in self.groups() {
             let addresses = self.peers.views.monitoring_addresses(&group.name, now);
-            for address in addresses.into_iter().chain(self.home_addresses(&group.name)) {
+            let inputs = self.home_inputs(&group.name);
+            let homes = inputs.map(|it| self.all_homes(&group.name, &it)).unwrap_or_default();
+            for address in addresses.into_iter().chain(homes.iter().map(|it| it.address)) {
                 group_peers.entry(address).or_default().insert(group.name.clone());
             }
         }
--- a/crates/gullspar_direct/src/fleet/home_groups.rs
+++ b/crates/gullspar_direct/src/fleet/home_groups.rs
@@ -1,6 +1,7 @@
 //! The groups that this instance serves, with their targets and its share of the targets' capacity.
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -9,6 +10,7 @@
 use gullspar_statement::TargetSpec;
 
 use crate::fleet::home_placement::Allowance;
+use crate::fleet::views::GroupHomes;
 use crate::groups::failover;
 use crate::groups::group::Group;
 use crate::proxy::SETTLE_PERIOD;
@@ -57,6 +59,7 @@
             .filter(|it| !own_groups.contains(*it))
             .for_each(|it| self.maintain_home(it));
         self.give_up_groups(now);
+        self.peers.views.set_homes(self.find_group_homes());
         for group in self.groups() {
             let should_keep_connections =
                 self.shutdown.phase() == Phase::Serving && group.release_at().is_none();
@@ -68,6 +71,18 @@
         }
     }
 
+    /// The homes of the groups that this instance serves, but for groups with homes everywhere.
+    fn find_group_homes(&self) -> BTreeMap<GroupName, GroupHomes> {
+        let homes_of = |group: &GroupName| {
+            let inputs = self.home_inputs(group)?;
+            self.homes_of(group, &inputs)?;
+            let homes = self.all_homes(group, &inputs);
+            Some(GroupHomes::new(homes.iter().map(|it| it.id.clone()), &self.own.id))
+        };
+        let groups = self.groups();
+        groups.iter().filter_map(|it| Some((it.name.clone(), homes_of(&it.name)?))).collect()
+    }
+
     /// Brings the targets of `group`, which this instance serves, in line with the directory.
     fn maintain_home(&self, group: &GroupName) {
         // The directory may list targets of groups that the configuration does not name; these
--- a/crates/gullspar_direct/src/fleet/home_plan.rs
+++ b/crates/gullspar_direct/src/fleet/home_plan.rs
@@ -1,15 +1,14 @@
 //! Caches of the homes of each group, and of the groups that this instance is a home of.
 
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use gullspar_model::GroupName;
 
-use crate::Proxy;
 use crate::fleet::home_placement::{Allowance, HomeInputs};
 use crate::fleet::homes::{self, Homes};
 use crate::fleet::peer_table::Epoch;
+use crate::{Member, Proxy};
 
 /// The homes of one group, with the inputs they were computed from.
 ///
@@ -19,9 +18,8 @@
     inputs: HomeInputs,
     /// `None` if every instance opens its own connections.
     homes: Option<Rc<Homes>>,
-    /// Addresses of the homes in all data centres; computed on first use, by instances that monitor
-    /// the group.
-    all_data_centres: Option<Vec<SocketAddr>>,
+    /// The homes in all data centres; computed on first use, by instances that monitor the group.
+    all_data_centres: Option<Rc<[Member]>>,
 }
 
 /// The groups that this instance is a home of.
@@ -54,16 +52,14 @@
         self.with_plan(group, inputs, |plan| plan.homes.clone())
     }
 
-    /// Addresses of the homes of `group` in all data centres.
-    pub(crate) fn home_addresses(&self, group: &GroupName) -> Vec<SocketAddr> {
-        let Some(inputs) = self.home_inputs(group) else { return Vec::new() };
+    /// The homes of `group` in all data centres; all members if every instance opens its own connections.
+    pub(crate) fn all_homes(&self, group: &GroupName, inputs: &HomeInputs) -> Rc<[Member]> {
         let members = self.members();
-        self.with_plan(group, &inputs, |plan| {
+        self.with_plan(group, inputs, |plan| {
             let all_data_centres = plan.all_data_centres.get_or_insert_with(|| {
-                let homes = homes::all_data_centres(group, &inputs, &members);
-                homes.into_iter().map(|it| it.address).collect()
+                homes::all_data_centres(group, inputs, &members).into_iter().cloned().collect()
             });
-            all_data_centres.clone()
+            Rc::clone(all_data_centres)
         })
     }
 
--- a/crates/gullspar_direct/src/fleet/leader_reports.rs
+++ b/crates/gullspar_direct/src/fleet/leader_reports.rs
@@ -55,7 +55,7 @@
         let now = self.borders.clock.boot_now();
         for report in reports.reports.into_iter().take(MAX_REPORTS) {
             let Some(group) = self.group(&report.group) else { continue };
-            if self.peers.views.monitoring_ids(&group.name, now).contains(&reports.from) {
+            if self.peers.views.voting_ids(&group.name, now).contains(&reports.from) {
                 group.record_report(reports.from.clone(), report, now);
             }
         }
--- a/crates/gullspar_direct/src/fleet/views.rs
+++ b/crates/gullspar_direct/src/fleet/views.rs
@@ -30,6 +30,30 @@
     at: BootInstant,
 }
 
+/// The homes of a group by the list of members, where not every instance is one. Only these vote on its leader.
+///
+/// Other instances serve the group as well, for example while they don't reach its homes. Neither side of a cut may take such
+/// instances for a majority.
+#[derive(Default)]
+pub(crate) struct GroupHomes {
+    /// Whether this instance is one of them.
+    pub(crate) includes_own: bool,
+    pub(crate) others: BTreeSet<InstanceId>,
+    /// Earlier homes that still send views, or did so until they died. They vote as well.
+    earlier: BTreeSet<InstanceId>,
+}
+
+impl GroupHomes {
+    pub(crate) fn new(homes: impl Iterator<Item = InstanceId>, own: &InstanceId) -> GroupHomes {
+        let mut others: BTreeSet<InstanceId> = homes.collect();
+        GroupHomes { includes_own: others.remove(own), others, earlier: BTreeSet::new() }
+    }
+
+    fn include(&self, id: &InstanceId) -> bool {
+        self.others.contains(id) || self.earlier.contains(id)
+    }
+}
+
 /// The newest heartbeat of each instance that sends heartbeats to this one: contacts and group
 /// peers.
 ///
@@ -41,6 +65,8 @@
     /// The instances with a view of each group. With many groups and peers, searching all heartbeats for one group
     /// would cost more than everything else.
     monitors: RefCell<BTreeMap<GroupName, BTreeSet<InstanceId>>>,
+    /// The homes of the groups that this instance serves. Of a group that is not listed, all monitoring instances are homes.
+    homes: RefCell<BTreeMap<GroupName, GroupHomes>>,
 }
 
 impl Views {
@@ -71,9 +97,25 @@
         });
     }
 
-    /// Ids of the instances that monitor `group` and are not leaving.
-    pub(crate) fn monitoring_ids(&self, group: &GroupName, now: BootInstant) -> Vec<InstanceId> {
-        self.select_monitors(group, now, ALIVE_TIMEOUT, |it, _| {
+    /// Sets the homes of all groups that this instance serves.
+    pub(crate) fn set_homes(&self, homes: BTreeMap<GroupName, GroupHomes>) {
+        let (mut known, monitors) = (self.homes.borrow_mut(), self.monitors.borrow());
+        let old = std::mem::replace(&mut *known, homes);
+        for (group, homes) in known.iter_mut() {
+            let Some((old, monitors)) = old.get(group).zip(monitors.get(group)) else { continue };
+            let earlier = old.others.iter().chain(&old.earlier).filter(|it| monitors.contains(*it));
+            homes.earlier = earlier.cloned().collect();
+        }
+    }
+
+    /// Whether this instance votes on the leader of `group`.
+    pub(crate) fn is_own_vote_counted(&self, group: &GroupName) -> bool {
+        self.homes.borrow().get(group).is_none_or(|it| it.includes_own)
+    }
+
+    /// Ids of the instances that vote on the leader of `group` and are not leaving.
+    pub(crate) fn voting_ids(&self, group: &GroupName, now: BootInstant) -> Vec<InstanceId> {
+        self.select_voters(group, now, ALIVE_TIMEOUT, |it, _| {
             (!it.is_leaving()).then(|| it.from().clone())
         })
     }
@@ -97,11 +139,18 @@
         self.received.borrow().get(id).is_some_and(|it| now.since(it.at) < ALIVE_TIMEOUT)
     }
 
-    /// Number of instances that are counted in majorities about `group`: those that monitor it,
-    /// this one included.
+    /// Number of instances that are counted in majorities about `group`: its homes, also those that were never heard.
     pub(crate) fn counted_for(&self, group: &GroupName, now: BootInstant) -> usize {
         let is_staying = |it: &Heartbeat, _: &GroupView| (!it.is_leaving()).then_some(());
-        1 + self.select_monitors(group, now, DEAD_COUNTED_PERIOD, is_staying).len()
+        let heard = self.select_voters(group, now, DEAD_COUNTED_PERIOD, is_staying).len();
+        let (homes, monitors) = (self.homes.borrow(), self.monitors.borrow());
+        let is_heard = |it: &InstanceId| monitors.get(group).is_some_and(|all| all.contains(it));
+        let others = homes.get(group).into_iter().flat_map(|it| &it.others);
+        self.own_vote(group) + heard + others.filter(|it| !is_heard(it)).count()
+    }
+
+    fn own_vote(&self, group: &GroupName) -> usize {
+        usize::from(self.is_own_vote_counted(group))
     }
 
     /// Whether the other instances that see `leader` leading `group` are more than half of those
@@ -116,7 +165,7 @@
             let leads = view.health == LeaderHealth::Leads && view.leader.as_ref() == Some(leader);
             leads.then_some(())
         };
-        2 * self.select_monitors(group, now, VIEW_TTL, sees).len() > self.counted_for(group, now)
+        2 * self.select_voters(group, now, VIEW_TTL, sees).len() > self.counted_for(group, now)
     }
 
     /// Whether a majority of the counted instances does not oppose `leader` of `group`: this one, and
@@ -141,7 +190,8 @@
             not_against.then_some(())
         };
         let within = now.since(since).min(CONFIRMATION_TTL);
-        let confirming = 1 + self.select_monitors(group, now, within, confirms).len();
+        let others = self.select_voters(group, now, within, confirms).len();
+        let confirming = self.own_vote(group) + others;
         2 * confirming > self.counted_for(group, now)
     }
 
@@ -195,7 +245,7 @@
             }
             LeaderHealth::Leads | LeaderHealth::Unsure => None,
         };
-        self.select_monitors(group, now, VIEW_TTL, against).len()
+        self.select_voters(group, now, VIEW_TTL, against).len()
     }
 
     /// Responsive instances whose configuration is newer than `version` or whose list of targets is
@@ -246,6 +296,22 @@
         let recent = known.filter(|it| now.since(it.at) < within);
         recent.filter_map(|it| pick(&it.heartbeat, it.heartbeat.view(group)?)).collect()
     }
+
+    /// Like [`Views::select_monitors`], among those that vote on the leader of `group`.
+    fn select_voters<T>(
+        &self,
+        group: &GroupName,
+        now: BootInstant,
+        within: Duration,
+        pick: impl Fn(&Heartbeat, &GroupView) -> Option<T>,
+    ) -> Vec<T> {
+        let homes = self.homes.borrow();
+        let homes = homes.get(group);
+        self.select_monitors(group, now, within, |it, view| {
+            let votes = homes.is_none_or(|homes| homes.include(it.from()));
+            if votes { pick(it, view) } else { None }
+        })
+    }
 }
 
 fn remove_monitor(monitors: &mut BTreeMap<GroupName, BTreeSet<InstanceId>>, heartbeat: &Heartbeat) {
--- a/crates/gullspar_direct/src/groups/failover.rs
+++ b/crates/gullspar_direct/src/groups/failover.rs
@@ -105,9 +105,12 @@
         }
     }
 
-    /// Why the group needs another leader now; `None` if it needs none.
+    /// Why the group needs another leader now; `None` if it needs none, or if this instance does not decide about it.
     pub(crate) fn failover_cause(&self) -> Option<FailoverCause> {
         let now = self.borders.clock.now();
+        if !self.peers.views.is_own_vote_counted(&self.group.name) {
+            return None;
+        }
         let is_leaving = self.shutdown.phase() != Phase::Serving;
         // In a minority partition the views of the reachable instances are not those of the majority.
         let is_isolated = self.peers.is_isolated(self.borders.clock.boot_now());
@@ -157,7 +160,7 @@
     /// first, then the others by a hash that spreads the groups over the instances.
     fn rank(&self) -> u32 {
         let now = self.borders.clock.boot_now();
-        let mut ranking = self.peers.views.monitoring_ids(&self.group.name, now);
+        let mut ranking = self.peers.views.voting_ids(&self.group.name, now);
         ranking.push(self.own.clone());
         let holder = self.group.claims().holder().cloned();
         ranking.sort_by_key(|it| {
--- a/crates/gullspar_direct/src/groups/leader_transfer.rs
+++ b/crates/gullspar_direct/src/groups/leader_transfer.rs
@@ -39,7 +39,7 @@
     /// The valid reports of the other homes about the leader.
     fn reports_of_others(&self) -> Vec<LeaderReport> {
         let now = self.borders.clock.boot_now();
-        let monitoring: Vec<InstanceId> = self.peers.views.monitoring_ids(&self.group.name, now);
+        let monitoring: Vec<InstanceId> = self.peers.views.voting_ids(&self.group.name, now);
         let received = self.group.leader_reports(now).into_iter();
         let others = received.filter(|(from, _)| *from != self.own && monitoring.contains(from));
         others.map(|(_, it)| it).collect()
--- a/crates/gullspar_direct/tests/support/fake_peers.rs
+++ b/crates/gullspar_direct/tests/support/fake_peers.rs
@@ -27,6 +27,8 @@
     blocked_pairs: RefCell<BTreeSet<(SocketAddr, SocketAddr)>>,
     /// Instances that nothing reaches and that reach nothing, while their connections stay open.
     silent: RefCell<BTreeSet<SocketAddr>>,
+    /// Links on which nothing arrives, while their connections stay open, as pairs of instances in both orders.
+    silent_pairs: RefCell<BTreeSet<(SocketAddr, SocketAddr)>>,
     silence_ended: Event,
     /// Whether silent instances still accept connections, like a machine whose processes stand still.
     pub silent_accept: Cell<bool>,
@@ -58,9 +60,20 @@
         self.older_builds.borrow_mut().insert(SocketAddr::from(([127, 0, 0, 1], number)));
     }
 
+    /// Silences all links between the instances in `left` and those in `right`, as [`FakeNetwork::silence`] does.
+    pub fn silence_between(&self, left: &[u16], right: &[u16]) {
+        let address = |number: &u16| SocketAddr::from(([127, 0, 0, 1], *number));
+        let mut pairs = self.silent_pairs.borrow_mut();
+        for a in left.iter().map(address) {
+            for b in right.iter().map(address) {
+                pairs.extend([(a, b), (b, a)]);
+            }
+        }
+    }
+
     fn is_silent(&self, a: SocketAddr, b: SocketAddr) -> bool {
         let silent = self.silent.borrow();
-        silent.contains(&a) || silent.contains(&b)
+        silent.contains(&a) || silent.contains(&b) || self.silent_pairs.borrow().contains(&(a, b))
     }
 
     /// Drops all sessions between instances without notice, as when a home crashes.
@@ -89,6 +102,7 @@
         self.blocked_pairs.borrow_mut().clear();
         self.partitioned.borrow_mut().clear();
         self.silent.borrow_mut().clear();
+        self.silent_pairs.borrow_mut().clear();
         self.silence_ended.notify(usize::MAX);
     }
 
