Confirm no leader behind a cut that leaves less than half of the fleet

A home that is cut off from most of the fleet together with its group's other homes went on acknowledging commits, since the homes confirmed the leader among themselves. The larger side declares them dead, chooses other homes, and these replace the leader. Commits acknowledged on the old one are gone then.

Found by reading, beside the vote of substitutes: the same majority counted over the wrong instances, on the other side of a cut. Now an isolated instance takes no leader for confirmed, so that it acknowledges a commit only once all listed members have it.

--- a/crates/gullspar_direct/src/writing/confirmation.rs
+++ b/crates/gullspar_direct/src/writing/confirmation.rs
@@ -220,12 +220,25 @@
     /// If not, this instance may be partitioned together with the leader and a replica while the other instances promote
     /// the other replica.
     fn is_leader_confirmed(&self, group: &Group, now: BootInstant) -> bool {
-        let since = BootInstant::MACHINE_START;
-        group.leader().is_some_and(|it| {
-            self.peers.views.is_leader_confirmed(&group.name, &it.member, since, now)
+        let leader = group.leader();
+        leader.is_some_and(|it| {
+            self.is_confirmed_since(group, &it.member, BootInstant::MACHINE_START, now)
         })
     }
 
+    /// Whether most homes have reported nothing against `leader` after `since`. If this instance reaches less than half of the
+    /// fleet, the others may choose new homes, which replace a leader without the former ones.
+    fn is_confirmed_since(
+        &self,
+        group: &Group,
+        leader: &MemberName,
+        since: BootInstant,
+        now: BootInstant,
+    ) -> bool {
+        !self.peers.is_isolated(now)
+            && self.peers.views.is_leader_confirmed(&group.name, leader, since, now)
+    }
+
     /// The status of the commit as known now; `None` while it is undecided.
     fn commit_status(
         &self,
@@ -282,7 +295,7 @@
             started
         };
         !group.may_be_replaced(now)
-            && self.peers.views.is_leader_confirmed(&group.name, &leader.member, views_since, now)
+            && self.is_confirmed_since(group, &leader.member, views_since, now)
     }
 
     /// Asks the leader that executed `commit` whether it still leads in the same term and has the commit.
--- a/crates/gullspar_direct/tests/substitute_homes.rs
+++ b/crates/gullspar_direct/tests/substitute_homes.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 
 use gullspar_direct::{Allowance, HomeInputs, Member, Members, Proxy, homes};
-use support::{FakeCaller, Fault, GROUP, LATEST, World, pause, run, wait_until};
+use support::{FakeCaller, Fault, GROUP, LATEST, Load, World, pause, run, wait_until};
 
 /// Too many instances for each to open its own connections.
 const INSTANCES: u16 = 8;
@@ -110,3 +110,26 @@
         .await;
     });
 }
+
+/// Guards against commits that are lost because homes acknowledge them on a leader that the larger side of a cut, where other
+/// instances have become the homes, replaces.
+#[test]
+fn homes_on_the_smaller_side_of_a_cut_acknowledge_nothing_that_is_lost() {
+    run(async {
+        let fleet = Fleet::start().await;
+        let callers = fleet.callers(&fleet.substitutes).await;
+        let homes: Vec<Rc<Proxy>> =
+            fleet.homes.iter().map(|it| Rc::clone(fleet.proxy(*it))).collect();
+        let load = Load::start(&fleet.world, &homes, 0, 1).await;
+        fleet.cut();
+        for number in &fleet.near_homes {
+            [1, 2].iter().for_each(|it| {
+                fleet.world.group.inject_fault(*it, Fault::UnresponsiveTo(*number));
+            });
+        }
+        callers.iter().for_each(|it| it.send_statement("READ slot"));
+        fleet.world.wait_for_new_leader("m0", CUT_MS).await;
+        pause(1000).await;
+        load.stop_and_check().await;
+    });
+}
