Handle an operator's signals before the settings are read

A SIGTERM or SIGINT that arrived while an instance started ended it at once, and `gullspar run` was ended by any SIGHUP: it had no handler.

Cause: each signal was listened for where it was first needed, SIGTERM and SIGINT only once the instance served. Now both commands that serve begin with the handlers of all three, and `gullsparctl lab up` with those of the two that end it; `run` reloads its settings like `serve`.

--- a/crates/gullspar/src/run.rs
+++ b/crates/gullspar/src/run.rs
@@ -4,14 +4,16 @@
 use std::process::ExitCode;
 use std::time::SystemTime;
 
-use gullspar_instance::{Instance, InstanceTiming, system_borders};
+use gullspar_instance::{
+    Instance, InstanceSignals, InstanceTiming, TerminationSignals, system_borders,
+};
 use gullspar_settings::InstanceSettings;
 use logforth::append;
 
-use crate::check;
+use crate::{check, reload};
 
 /// Runs the instance that the settings in `file` describe; returns the exit code of the process.
-pub(crate) fn run(file: PathBuf) -> ExitCode {
+pub(crate) fn run(file: PathBuf, signals: InstanceSignals) -> ExitCode {
     let settings = match check::read(&file) {
         Ok(settings) => settings,
         Err(findings) => {
@@ -32,10 +34,14 @@
             return ExitCode::FAILURE;
         }
     };
-    runtime.block_on(serve(settings))
+    runtime.block_on(async move {
+        let InstanceSignals { hangups, terminations } = signals;
+        reload::start(hangups, settings.clone(), move || check::read(&file));
+        serve(settings, terminations).await
+    })
 }
 
-async fn serve(settings: InstanceSettings) -> ExitCode {
+async fn serve(settings: InstanceSettings, terminations: TerminationSignals) -> ExitCode {
     let borders = system_borders(&settings);
     let timing = InstanceTiming::from_settings(&settings);
     // The start time, so that the incarnation is higher after each restart.
@@ -43,7 +49,7 @@
     let incarnation = since_epoch.map_or(1, |it| it.as_millis() as u64);
     match Instance::start(settings, borders, timing, incarnation).await {
         Ok(instance) => {
-            instance.run(gullspar_instance::termination_signal()).await;
+            instance.run(terminations.wait()).await;
             ExitCode::SUCCESS
         }
         Err(err) => {
--- a/crates/gullspar/src/serve.rs
+++ b/crates/gullspar/src/serve.rs
@@ -1,19 +1,17 @@
 //! Runs an instance that connects to its targets directly.
 
 use std::io;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 
-use gullspar_instance::Signals;
-use gullspar_settings::DirectSettings;
+use gullspar_instance::InstanceSignals;
 use gullspar_telemetry::{BoundedAppend, LineWriter};
 use logforth::filter::rustlog::RustLogFilterBuilder;
 
-use crate::check;
+use crate::{check, reload};
 
 /// Runs the instance that the settings in `file` describe; returns the exit code of the process.
-pub(crate) fn serve(file: PathBuf) -> ExitCode {
-    let hangups = Signals::hangups();
+pub(crate) fn serve(file: PathBuf, signals: InstanceSignals) -> ExitCode {
     let settings = match check::read_direct(&file) {
         Ok(settings) => settings,
         Err(findings) => {
@@ -32,14 +30,9 @@
         }
     };
     let result = runtime.block_on(async move {
-        let initial = settings.clone();
-        compio::runtime::spawn(async move {
-            if let Err(err) = reload_on_hangup(hangups, &file, initial).await {
-                log::error!(reason = err.to_string().as_str(); "G0819 SIGHUP can't be handled; the settings are not reloaded");
-            }
-        })
-        .detach();
-        gullspar_platform::serve(settings, gullspar_instance::termination_signal()).await
+        let InstanceSignals { hangups, terminations } = signals;
+        reload::start(hangups, settings.clone(), move || check::read_direct(&file));
+        gullspar_platform::serve(settings, terminations.wait()).await
     });
     log::logger().flush();
     match result {
@@ -50,34 +43,3 @@
         }
     }
 }
-
-/// Reads the settings again at each SIGHUP and logs whether they have changed.
-///
-/// The running instance keeps the settings with which it started, since addresses and names can't
-/// change while it runs.
-///
-/// # Errors
-///
-/// Returns only if SIGHUP can't be handled.
-async fn reload_on_hangup(
-    hangups: io::Result<Signals>,
-    file: &Path,
-    mut settings: DirectSettings,
-) -> io::Result<()> {
-    let mut hangups = hangups?;
-    loop {
-        hangups.next().await?;
-        match check::read_direct(file) {
-            Ok(reloaded) if reloaded == settings => {
-                log::info!("G0811 the settings were reloaded and have not changed");
-            }
-            Ok(reloaded) => {
-                log::warn!("G0812 the settings have changed; they take effect at the next start");
-                settings = reloaded;
-            }
-            Err(findings) => {
-                log::error!(findings = findings.as_str(); "G0813 the settings can't be reloaded; the previous ones stay in force");
-            }
-        }
-    }
-}
--- a/crates/gullspar_instance/src/lib.rs
+++ b/crates/gullspar_instance/src/lib.rs
@@ -3,8 +3,8 @@
 mod instance;
 mod peer_side;
 mod report;
-mod termination;
+mod signals;
 
 pub use gullspar_net::enter_timer_context;
 pub use instance::{Instance, InstanceError, InstanceTiming, system_borders};
-pub use termination::{Signals, termination_signal};
+pub use signals::{InstanceSignals, Signals, TerminationSignals};
--- a/crates/gullspar_lab/src/lib.rs
+++ b/crates/gullspar_lab/src/lib.rs
@@ -20,7 +20,7 @@
 pub use client::{Answer, Client, RequestOutcome};
 pub use control_server::{LabCommand, run_control};
 pub use faults::{FaultChange, Faults, TargetFault};
-pub use gullspar_instance::termination_signal;
+pub use gullspar_instance::TerminationSignals;
 pub use history::{History, Violations, WriteRecord};
 pub use lab::{Lab, LabAddresses, LabError, LabTarget};
 pub use lab_instance::{InstanceAddresses, LabInstance};
--- a/crates/gullsparctl/src/lab_command.rs
+++ b/crates/gullsparctl/src/lab_command.rs
@@ -2,13 +2,14 @@
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
+use std::pin::pin;
 use std::time::Duration;
 
 use clap::ArgMatches;
 use futures::StreamExt;
 use futures::channel::mpsc;
 use futures::future::{self, Either};
-use gullspar_lab::{Lab, LabCommand, LabSettings, run_control};
+use gullspar_lab::{Lab, LabCommand, LabSettings, TerminationSignals, run_control};
 use logforth::append;
 
 use crate::client::{self, CommandError};
@@ -32,6 +33,7 @@
 }
 
 fn up(args: &ArgMatches) -> Result<(), CommandError> {
+    let terminations = TerminationSignals::receive().map_err(CommandError::Runtime)?;
     let file = args.get_one::<PathBuf>("file").cloned().unwrap_or_default();
     let text = client::read(&file)?;
     let settings = LabSettings::parse(&file.display().to_string(), &text)
@@ -56,10 +58,14 @@
             }
         })
         .detach();
-        wait_for_primaries(&lab).await;
-        println!("{addresses}");
-        let terminated = gullspar_lab::termination_signal();
+        let terminated = terminations.wait();
         futures::pin_mut!(terminated);
+        let Either::Right((_, mut terminated)) =
+            future::select(terminated, pin!(wait_for_primaries(&lab))).await
+        else {
+            return Ok(());
+        };
+        println!("{addresses}");
         loop {
             match future::select(terminated, rx.next()).await {
                 Either::Left(_) | Either::Right((None, _)) => return Ok(()),
