Read the settings of a running instance on threads of their own

Cause: a SIGHUP made the instance read the file on the thread that serves everybody. A disk that is busy, a file system on which a reader waits for a writer, or a pipe that nobody writes to stops it for that time.

An abandoned one keeps no later one from beginning. The socket of the signals is read without blocking; that a readiness without data ever blocked an instance was not seen.

Measured: `a_reload_that_hangs_stops_no_request` and `settings_that_are_being_written_are_no_error` failed before (2 of 2) and pass.

--- a/crates/gullspar/src/main.rs
+++ b/crates/gullspar/src/main.rs
@@ -5,6 +5,7 @@
 mod reload;
 mod run;
 mod serve;
+mod settings_reader;
 
 use std::process::ExitCode;
 
--- a/crates/gullspar/tests/signals.rs
+++ b/crates/gullspar/tests/signals.rs
@@ -2,8 +2,8 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that can't go on must fail")]
 
-use std::io::Write;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::thread;
@@ -92,6 +92,24 @@
         pipe.write_all(content.to_string().as_bytes()).unwrap();
     }
 
+    /// Replaces the settings by a pipe that nobody writes to.
+    fn replace_settings_by_pipe(&self) {
+        let replacement = self.settings.with_extension("new");
+        let _ = std::fs::remove_file(&replacement);
+        unistd::mkfifo(&replacement, Mode::S_IRWXU).unwrap();
+        std::fs::rename(&replacement, &self.settings).unwrap();
+    }
+
+    /// How long the instance takes to answer whether it is ready.
+    fn readiness_duration(&self, octet: u8) -> Duration {
+        let asked_at = Instant::now();
+        let mut stream = TcpStream::connect((own_address(octet), 7442)).unwrap();
+        stream.set_read_timeout(Some(LOG_TIMEOUT)).unwrap();
+        stream.write_all(b"GET /api/readiness HTTP/1.1\r\nHost: x\r\n\r\n").unwrap();
+        stream.read_exact(&mut [0]).unwrap();
+        asked_at.elapsed()
+    }
+
     fn replace_settings(&self, content: &Value) {
         let replacement = self.settings.with_extension("new");
         std::fs::write(&replacement, content.to_string()).unwrap();
@@ -214,3 +232,32 @@
     instance.read_settings(&content(octet, 1));
     assert!(instance.child.wait().unwrap().success());
 }
+
+/// Guards against an instance that serves nobody while its settings can't be read, and against settings that are not read again
+/// once they can be.
+#[test]
+fn a_reload_that_hangs_stops_no_request() {
+    let instance = Instance::start("hanging-reload", 247);
+    instance.replace_settings_by_pipe();
+    instance.signal(Signal::SIGHUP);
+    thread::sleep(Duration::from_millis(50));
+    let duration = instance.readiness_duration(247);
+    assert!(duration < Duration::from_millis(500), "answered after {duration:?}");
+    instance.replace_settings(&content(247, 4));
+    instance.signal(Signal::SIGHUP);
+    instance.wait_for_log("G0812");
+}
+
+/// Guards against an error that is reported for settings which are just being written.
+#[test]
+fn settings_that_are_being_written_are_no_error() {
+    let instance = Instance::start("half-written", 246);
+    let text = content(246, 4).to_string();
+    let mut file = std::fs::File::create(&instance.settings).unwrap();
+    file.write_all(&text.as_bytes()[..text.len() / 2]).unwrap();
+    instance.signal(Signal::SIGHUP);
+    thread::sleep(Duration::from_millis(100));
+    file.write_all(&text.as_bytes()[text.len() / 2..]).unwrap();
+    instance.wait_for_log("G0812");
+    assert!(!std::fs::read_to_string(&instance.log).unwrap().contains("G0813"));
+}
--- a/crates/gullspar_instance/src/signals.rs
+++ b/crates/gullspar_instance/src/signals.rs
@@ -1,27 +1,29 @@
 //! The signals that a process receives while it serves.
 
-use std::io::{self, PipeReader, Read};
+use std::io::{self, Read};
+use std::os::unix::net::UnixStream;
 
 use compio::runtime::fd::PollFd;
 use futures::future;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::low_level;
 
-/// Number of signals that are taken together if they arrive before they are waited for. More would have to arrive while
-/// the settings are read once.
+/// Maximum number of signals that one wait takes together. Those beyond it end the next wait at once.
 const MAX_COALESCED: usize = 4096;
 
 /// The signals of one kind that the process receives.
 ///
 /// From the creation of this value to the end of the process, none of them has its default action. Their handler only writes
-/// to a pipe: a handler that wakes a task corrupts the runtime's queue if it interrupts the runtime itself.
+/// to a socket: a handler that wakes a task corrupts the runtime's queue if it interrupts the runtime itself.
 pub struct Signals {
-    received: PollFd<PipeReader>,
+    received: PollFd<UnixStream>,
 }
 
 impl Signals {
     fn receive(signal: i32) -> io::Result<Signals> {
-        let (reader, writer) = io::pipe()?;
+        let (reader, writer) = UnixStream::pair()?;
+        // A read without data would block the thread that serves all callers.
+        reader.set_nonblocking(true)?;
         low_level::pipe::register(signal, writer)?;
         Ok(Signals { received: PollFd::new(reader)? })
     }
@@ -32,8 +34,16 @@
     ///
     /// Fails if the signal can't be waited for.
     pub async fn next(&mut self) -> io::Result<()> {
-        self.received.read_ready().await?;
-        (&*self.received).read(&mut [0; MAX_COALESCED]).map(|_| ())
+        loop {
+            match (&*self.received).read(&mut [0; MAX_COALESCED]) {
+                Ok(_) => return Ok(()),
+                Err(err) if err.kind() == io::ErrorKind::WouldBlock => {
+                    self.received.read_ready().await?;
+                }
+                Err(err) if err.kind() == io::ErrorKind::Interrupted => {}
+                Err(err) => return Err(err),
+            }
+        }
     }
 }
 
