Keep a caller's connection when its session moves

No line of a log said who had closed them or why.

Cause: a session that another instance should serve (this one gives the group up, or lost the leader that others reach) was ended by closing the connection between two requests. A forwarded session was closed by its caller's instance as soon as its home asked to end it, without asking whether a request waited.

Now the connection stays and what is behind it changes between two statements, with the state that a lost home is replaced with already: values, prepared statements, newest own commit. A session served here becomes a forwarded one; one whose home wants to end it leaves that home and opens elsewhere at its next statement; it returns once its caller's instance is a home again that reaches the leader, which forwarded sessions never did. A group that is being given up is kept when a session is opened in it again. An open transaction at a home that shuts down is rolled back, and its caller is told so instead of losing the connection.

Connections that an instance closes are logged with the reason (G0820) and counted (`gullspar_sessions_ended_total`). Nothing is in progress on them, so there are no ids. At shutdowns and on leaving rotation callers' connections are closed as before; the protocol has no word to ask for it (docs/promises.md).

Two tests asserted that callers of moving sessions are disconnected (`callers_are_served_through_instances_that_reach_the_leader`, `a_home_that_shuts_down_answers_requests_on_their_way`). What they guarded is that the caller is served elsewhere; they now ask that of the same connection.

Measured: the four tests of `moved_sessions.rs` failed before (4 of 4) and pass; all tests of `gullspar_direct` pass.

--- a/crates/gullspar_direct/src/fleet/home_groups.rs
+++ b/crates/gullspar_direct/src/fleet/home_groups.rs
@@ -150,11 +150,26 @@
     pub(crate) fn hold_group(&self, group: &GroupName) {
         let until = self.borders.clock.now() + HOLD_PERIOD;
         self.forwarded_groups.borrow_mut().insert(group.clone(), until);
-        if self.group(group).is_none() {
-            self.maintain_groups();
+        match self.group(group) {
+            Some(group) => group.set_release_at(None),
+            None => self.maintain_groups(),
         }
     }
 
+    /// Holds `group` if this instance is giving it up.
+    pub(crate) fn keep_group(&self, group: &GroupName) {
+        if self.is_giving_up(group) {
+            self.hold_group(group);
+        }
+    }
+
+    /// Whether this instance is a home of `group` and reaches its leader.
+    pub(crate) fn is_working_home(&self, group: &GroupName) -> bool {
+        self.own_groups().contains(group)
+            && self.forwarding_candidates(group).is_none()
+            && self.group(group).is_some_and(|it| it.serving_leader().is_some())
+    }
+
     pub(crate) fn is_held(&self, group: &GroupName) -> bool {
         let now = self.borders.clock.now();
         self.forwarded_groups.borrow().get(group).is_some_and(|until| now < *until)
--- a/crates/gullspar_direct/src/session/caller_opening.rs
+++ b/crates/gullspar_direct/src/session/caller_opening.rs
@@ -2,22 +2,26 @@
 
 use std::rc::Rc;
 
-use gullspar_model::{CustomerName, NotRun};
+use gullspar_model::{CustomerName, NotRun, ServiceName};
 use gullspar_statement::{
     Answer, CallerLink, CallerLinkError, CallerMessage, Failure, FailureCode, TransactionStatus,
 };
 
-use crate::fleet::rotation::UseCounter;
 use crate::session::caller_session::{Session, no_such_service};
 use crate::session::opening::Opening;
 use crate::session::refusal;
-use crate::session::relay::{self, Relay, RelayEnd};
+use crate::session::relay::{self, Relay};
+use crate::session::session_end::{EndReason, SessionEnd};
 use crate::session::session_start::SessionStart;
-use crate::{ForwardedSession, Member, Proxy, RelayMessage, RelayedLink, Route};
+use crate::{ForwardedSession, Proxy, RelayMessage, RelayedLink, Route};
 
 /// Serves one caller until it disconnects or the instance shuts down.
 pub async fn serve_caller(proxy: Rc<Proxy>, link: Box<dyn CallerLink>) {
-    serve(&proxy, open(&proxy, link)).await;
+    proxy.shutdown.session_opened();
+    let mut service = None;
+    let ended = open(&proxy, link, &mut service).await;
+    record_end(&proxy, service.as_ref(), &ended);
+    proxy.shutdown.session_closed();
 }
 
 /// Serves a caller whose session another instance has forwarded; the session is not forwarded again.
@@ -26,35 +30,92 @@
     link: Box<dyn RelayedLink>,
     forwarded: ForwardedSession,
 ) {
-    serve(&proxy, open_forwarded(&proxy, link, forwarded)).await;
-}
-
-async fn serve(proxy: &Proxy, session: impl Future<Output = Result<(), CallerLinkError>>) {
     proxy.shutdown.session_opened();
-    if let Err(err) = session.await {
-        log::debug!(reason = err.to_string().as_str(); "G0728 a caller's session ended with an error");
+    if let Err(err) = open_forwarded(&proxy, link, forwarded).await {
+        log_broken(&err);
     }
     proxy.shutdown.session_closed();
 }
 
-/// Reads the opening message, then serves the session here or forwards it.
-async fn open(proxy: &Rc<Proxy>, mut link: Box<dyn CallerLink>) -> Result<(), CallerLinkError> {
+fn log_broken(err: &CallerLinkError) {
+    log::debug!(reason = err.to_string().as_str(); "G0728 a caller's session ended with an error");
+}
+
+/// Counts the end of a session, and logs it if this instance closed the caller's connection. Nothing is in progress on it then.
+fn record_end(
+    proxy: &Proxy,
+    service: Option<&ServiceName>,
+    ended: &Result<EndReason, CallerLinkError>,
+) {
+    let reason = match ended {
+        Ok(reason) => *reason,
+        Err(err) => {
+            log_broken(err);
+            EndReason::of(err)
+        }
+    };
+    proxy.borders.stats.session_ended(reason);
+    if reason != EndReason::CallerGone {
+        log::info!(service = service.map_or("-", |it| it.as_str()), reason = reason.name(); "G0820 a caller's connection was closed by this instance");
+    }
+}
+
+/// Reads the opening message, then serves the session here or forwards it. Sets `service` once it is known.
+async fn open(
+    proxy: &Rc<Proxy>,
+    mut link: Box<dyn CallerLink>,
+    service: &mut Option<ServiceName>,
+) -> Result<EndReason, CallerLinkError> {
     let first = link.next().await?;
     proxy.discovery.wait().await;
-    let Some(opening) = read_opening(first, &mut *link).await? else { return Ok(()) };
+    let is_gone = first.is_none();
+    let Some(opening) = read_opening(first, &mut *link).await? else {
+        return Ok(if is_gone { EndReason::CallerGone } else { EndReason::Malformed });
+    };
+    *service = Some(opening.service.clone());
     let Admitted { route, customer } = match admit(proxy, &opening, None).await {
         Ok(admitted) => admitted,
-        Err(answer) => return link.reply(&answer).await,
+        Err(answer) => {
+            link.reply(&answer).await?;
+            return Ok(EndReason::Refused);
+        }
     };
     let other_homes = proxy.other_homes(&route.group);
     let use_counter = proxy.rotation.recent_use.counter(&route);
     use_counter.record();
-    match other_homes.or_else(|| proxy.forwarding_candidates(&route.group)) {
-        Some(homes) => forward(proxy, link, opening, route, &homes, use_counter).await,
+    let end = match other_homes.or_else(|| proxy.forwarding_candidates(&route.group)) {
+        Some(homes) => {
+            let version = proxy.directory.version();
+            let forwarded =
+                ForwardedSession { catalogue_version: version, group: route.group.clone() };
+            Relay::run(proxy, link, opening, forwarded, &homes, use_counter).await?
+        }
         None => {
             let start = SessionStart::new(opening, customer).counted_by(use_counter);
-            Session::serve_session(proxy, link, start).await
+            Session::serve_session(proxy, link, start).await?
         }
+    };
+    continue_until_ended(proxy, end).await
+}
+
+/// Serves or forwards a session in turn, wherever it continues, on the same connection of its caller.
+async fn continue_until_ended(
+    proxy: &Rc<Proxy>,
+    mut end: SessionEnd,
+) -> Result<EndReason, CallerLinkError> {
+    loop {
+        end = match end {
+            SessionEnd::Ended(reason) => return Ok(reason),
+            SessionEnd::Forward(session) => Relay::resume(proxy, *session).await?,
+            SessionEnd::ServeHere(session) => {
+                // The customer is looked up before each statement.
+                let start = SessionStart::new(session.opening, None)
+                    .restored(Some(session.restored))
+                    .continued_with(session.unanswered)
+                    .counted_by(session.use_counter);
+                Session::serve_session(proxy, session.caller, start).await?
+            }
+        };
     }
 }
 
@@ -86,7 +147,7 @@
         return link.reply(&relay::no_home(proxy)).await;
     }
     let start = SessionStart::new(opening, customer).restored(restored);
-    Session::serve_session(proxy, link, start).await
+    Session::serve_session(proxy, link, start).await.map(|_| ())
 }
 
 /// The content of the first message; `None` if it opens no session, after the caller was told so.
@@ -149,22 +210,3 @@
     }
     Ok(Admitted { route, customer })
 }
-
-/// Forwards the session, and serves it here if it ends up here after its home was lost.
-async fn forward(
-    proxy: &Rc<Proxy>,
-    link: Box<dyn CallerLink>,
-    opening: Opening,
-    route: Route,
-    homes: &[Member],
-    use_counter: UseCounter,
-) -> Result<(), CallerLinkError> {
-    let forwarded =
-        ForwardedSession { catalogue_version: proxy.directory.version(), group: route.group };
-    let end = Relay::run(proxy, link, opening, forwarded, homes, use_counter).await?;
-    let RelayEnd::ServeHere(session) = end else { return Ok(()) };
-    // The customer is looked up before each statement.
-    let start = SessionStart::new(session.opening, None).restored(Some(session.restored));
-    let start = start.continued_with(session.unanswered).counted_by(session.use_counter);
-    Session::serve_session(proxy, session.caller, start).await
-}
--- a/crates/gullspar_direct/src/session/forwarded_state.rs
+++ b/crates/gullspar_direct/src/session/forwarded_state.rs
@@ -57,10 +57,11 @@
 }
 
 impl ForwardedState {
-    pub(super) fn new() -> ForwardedState {
+    /// The state of a session that begins with `values`, and whose newest own commit is at `own_commit`.
+    pub(super) fn new(values: SessionValues, own_commit: Option<LogPoint>) -> ForwardedState {
         ForwardedState {
-            values: SessionValues::default(),
-            own_commit: None,
+            values,
+            own_commit,
             status: TransactionStatus::Idle,
             wrote: false,
             unanswered: VecDeque::new(),
--- a/crates/gullspar_direct/src/session/mod.rs
+++ b/crates/gullspar_direct/src/session/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) mod relay_message;
 pub(crate) mod request;
 pub(crate) mod restored_session;
+pub(crate) mod session_end;
 pub(crate) mod session_start;
 pub(crate) mod session_values;
 pub(crate) mod shutdown;
--- a/crates/gullspar_direct/src/session/shutdown.rs
+++ b/crates/gullspar_direct/src/session/shutdown.rs
@@ -4,6 +4,8 @@
 
 use event_listener::{Event, EventListener};
 
+use crate::session::session_end::EndReason;
+
 /// The phase of the instance's shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
@@ -79,6 +81,14 @@
             || self.partition_state.get() == PartitionState::OutOfRotation
     }
 
+    /// Why sessions are closed.
+    pub(crate) fn closing_reason(&self) -> EndReason {
+        match self.phase.get() >= Phase::ClosingIdle {
+            true => EndReason::Shutdown,
+            false => EndReason::Partitioned,
+        }
+    }
+
     /// Returns a listener for the next change. Call this before reading the phase, so that no change is missed.
     pub fn listen(&self) -> EventListener {
         self.changed.listen()
--- a/crates/gullspar_direct/src/stats.rs
+++ b/crates/gullspar_direct/src/stats.rs
@@ -9,6 +9,7 @@
 use gullspar_statement::{Failure, FailureCode};
 
 use crate::PartitionState;
+use crate::session::session_end::EndReason;
 use crate::session::trace::Trace;
 
 /// Bucket bounds of the latency histograms, in seconds; they cover the services' latency objectives of 0.1 to 0.8.
@@ -35,6 +36,7 @@
     unresponsive_homes: Counter<u64>,
     lost_homes: Counter<u64>,
     openings_refused: Counter<u64>,
+    sessions_ended: Counter<u64>,
     rotation_changes: Counter<u64>,
     rotation_messages: Counter<u64>,
     sessions: Gauge<u64>,
@@ -148,6 +150,10 @@
                 "Sessions refused when they were opened, because of a partition or a shutdown, by the \
                  instance's partition state.",
             ),
+            sessions_ended: counter(
+                "gullspar_sessions_ended",
+                "Sessions of callers connected to this instance that have ended, by reason.",
+            ),
             rotation_changes: counter(
                 "gullspar_rotation_changes",
                 "Times that this instance left rotation or returned because of a partition, by what it \
@@ -266,6 +272,10 @@
         self.openings_refused.add(1, &[KeyValue::new("state", state)]);
     }
 
+    pub(crate) fn session_ended(&self, reason: EndReason) {
+        self.sessions_ended.add(1, &[KeyValue::new("reason", reason.name())]);
+    }
+
     pub(crate) fn rotation_change(&self, change: &'static str, by: &'static str) {
         self.rotation_changes.add(1, &[KeyValue::new("change", change), KeyValue::new("by", by)]);
     }
--- a/crates/gullspar_direct/tests/support/mod.rs
+++ b/crates/gullspar_direct/tests/support/mod.rs
@@ -15,6 +15,7 @@
 mod fault;
 mod home_fleet;
 mod load;
+mod unpausing_callers;
 
 use std::future::Future;
 use std::net::SocketAddr;
@@ -39,6 +40,7 @@
 pub use fault::Fault;
 pub use home_fleet::{CONNECTIONS, HomeFleet, INSTANCES};
 pub use load::Load;
+pub use unpausing_callers::UnpausingCallers;
 
 pub const GROUP: &str = "group-1";
 
