--- a/crates/gullspar/src/main.rs
+++ b/crates/gullspar/src/main.rs
@@ -5,7 +5,6 @@
 mod reload;
 mod run;
 mod serve;
-mod settings_reader;
 
 use std::process::ExitCode;
 
--- a/crates/gullspar/src/reload.rs
+++ b/crates/gullspar/src/reload.rs
@@ -3,9 +3,7 @@
 use std::io;
 use std::time::Duration;
 
-use gullspar_instance::Signals;
-
-use crate::settings_reader::{ReadError, SettingsReader};
+use gullspar_instance::{ReadError, SettingsReader, Signals};
 
 /// Time between two readings of settings that are not sound. The file may still be being written.
 const REREAD_DELAY: Duration = Duration::from_millis(200);
--- a/crates/gullspar/src/settings_reader.rs
+++ b/crates/gullspar_instance/src/settings_reader.rs
@@ -11,7 +11,7 @@
 /// How long a reading may take until it is abandoned.
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Maximum number of abandoned readings that have not ended, for example because their file is a pipe without a writer.
+/// Maximum number of abandoned readings that have not ended, for example because their file system does not answer.
 const MAX_ABANDONED: usize = 8;
 
 quick_error! {
@@ -22,12 +22,15 @@
         Unsound(findings: String) {
             display("{findings}")
         }
+        /// The reading was abandoned.
         TimedOut {
             display("reading the file has taken more than {} s", READ_TIMEOUT.as_secs())
         }
+        /// No reading was begun.
         TooManyAbandoned {
             display("{MAX_ABANDONED} earlier readings of the file have not ended")
         }
+        /// No thread could be started for the reading.
         Thread(err: io::Error) {
             from()
             source(err)
@@ -37,14 +40,15 @@
 }
 
 /// Reads the settings of one file.
-pub(crate) struct SettingsReader<T> {
+pub struct SettingsReader<T> {
     read: Arc<dyn Fn() -> Result<T, String> + Send + Sync>,
     /// Each thread that reads holds a reference.
     running: Arc<()>,
 }
 
 impl<T: Send + 'static> SettingsReader<T> {
-    pub(crate) fn new(read: impl Fn() -> Result<T, String> + Send + Sync + 'static) -> Self {
+    /// Creates a reader that calls `read` for each reading.
+    pub fn new(read: impl Fn() -> Result<T, String> + Send + Sync + 'static) -> Self {
         SettingsReader { read: Arc::new(read), running: Arc::default() }
     }
 
@@ -53,7 +57,7 @@
     /// # Errors
     ///
     /// Fails if they are not sound or can't be read in time.
-    pub(crate) async fn read(&self) -> Result<T, ReadError> {
+    pub async fn read(&self) -> Result<T, ReadError> {
         if Arc::strong_count(&self.running) > MAX_ABANDONED {
             return Err(ReadError::TooManyAbandoned);
         }
