Add a soak of the signals that operators send

Callers never pause. It tells apart a process that ended, a connection that was closed, a request answered too late and a caller that gave up.

--- a/crates/gullspar/tests/soak.rs
+++ b/crates/gullspar/tests/soak.rs
@@ -5,7 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use gullspar_soak::{SoakPlan, soak};
+use gullspar_soak::{SoakPlan, soak, soak_signals};
 use test_case::test_case;
 
 fn plan(seed: u64, fault_period: Duration) -> SoakPlan {
@@ -88,3 +88,16 @@
     }
     assert!(report.done_after_faults > 0, "nothing is served after the faults: {report:#?}");
 }
+
+/// Guards against signals that end a process, stop it from serving or close connections: while it reads settings that are
+/// pipes or half written, while it is paused, while it shuts down, and several at once.
+#[test_case(1; "a process ended, or stopped by a pipe")]
+#[test_case(5; "all instances stopped by pipes")]
+fn signals_of_operators_disturb_no_caller(seed: u64) {
+    let mut plan = plan(seed, Duration::from_secs(12));
+    plan.folder = plan.folder.with_file_name(format!("signals-{seed}"));
+    let runtime = compio::runtime::Runtime::new().unwrap();
+    let report = runtime.block_on(soak_signals(&plan)).unwrap();
+    assert_eq!(report.breaches, [], "{report:#?}");
+    assert!(report.served_after_faults > 0, "nothing is served after the signals: {report:#?}");
+}
--- a/crates/gullsparctl/src/command_line.rs
+++ b/crates/gullsparctl/src/command_line.rs
@@ -136,4 +136,11 @@
                 .help("Draw syncReplicas, late orders, replaced and deaf members and stopped claimants from the seed")
                 .action(ArgAction::SetTrue),
         )
+        .arg(
+            Arg::new("signals")
+                .long("signals")
+                .help("Send series of signals to instances whose callers never pause, and no other faults")
+                .conflicts_with_all(["customers", "replication"])
+                .action(ArgAction::SetTrue),
+        )
 }
--- a/crates/gullsparctl/src/soak_command.rs
+++ b/crates/gullsparctl/src/soak_command.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use clap::ArgMatches;
-use gullspar_soak::{Report, SoakPlan, soak};
+use gullspar_soak::{Breach, Report, SignalReport, SoakError, SoakPlan, soak, soak_signals};
 
 use crate::client::CommandError;
 
@@ -29,9 +29,12 @@
         };
         let runtime =
             compio::runtime::Runtime::new().map_err(|err| CommandError::Text(err.to_string()))?;
-        let report =
-            runtime.block_on(soak(&plan)).map_err(|err| CommandError::Text(err.to_string()))?;
-        if !print_report(&report) {
+        let failure = |err: SoakError| CommandError::Text(err.to_string());
+        let passed = match args.get_flag("signals") {
+            true => print_signal_report(&runtime.block_on(soak_signals(&plan)).map_err(failure)?),
+            false => print_report(&runtime.block_on(soak(&plan)).map_err(failure)?),
+        };
+        if !passed {
             failed.push(seed.to_string());
         }
     }
@@ -61,8 +64,33 @@
         if report.is_synchronous { ", synchronous" } else { "" },
     );
     if !passed {
-        report.faults.iter().for_each(|it| println!("  {it}"));
-        report.breaches.iter().for_each(|it| println!("  broken: {}: {}", it.promise, it.text));
+        print_details(&report.faults, &report.breaches);
     }
     passed
 }
+
+/// Like [`print_report`], for a run with signals.
+fn print_signal_report(report: &SignalReport) -> bool {
+    let passed = report.breaches.is_empty() && report.served_after_faults > 0;
+    println!(
+        "seed {}: {}; {} series of signals, {} requests served, {} failed, {} connections closed by shutdowns, \
+         {} callers gave up in pauses, {} served afterwards",
+        report.seed,
+        if passed { "passed" } else { "FAILED" },
+        report.faults.len(),
+        report.served,
+        report.failed,
+        report.closed_by_shutdowns,
+        report.gave_up_in_pauses,
+        report.served_after_faults,
+    );
+    if !passed {
+        print_details(&report.faults, &report.breaches);
+    }
+    passed
+}
+
+fn print_details(faults: &[String], breaches: &[Breach]) {
+    faults.iter().for_each(|it| println!("  {it}"));
+    breaches.iter().for_each(|it| println!("  broken: {}: {}", it.promise, it.text));
+}
