Reserve the addresses of the lab's instances while they are stopped

Cause: the lab took ports that the system chooses, and released them until their instance listened. While an instance was restarted, the system could give its port to a connection of another thread or process. The restarted instance then failed to start, which only a log line says that tests don't print, and its callers were refused for the rest of the test.

Now the lab keeps a socket bound to each address that doesn't listen. The system chooses no such port, and the instances may still listen on it.

--- a/crates/gullspar_lab/src/lab.rs
+++ b/crates/gullspar_lab/src/lab.rs
@@ -21,6 +21,7 @@
 use crate::group::{GroupSettings, MemberCounts, MemberSettings, run_group};
 use crate::lab_settings::{LabService, verifier};
 use crate::platform::{PlatformStore, run_platform};
+use crate::reserved_addresses::ReservedAddresses;
 use crate::{Faults, InstanceAddresses, LabInstance, LabInstanceSettings, LabSettings, Network};
 
 quick_error! {
@@ -111,6 +112,7 @@
     pub network: Arc<Network>,
     settings: LabSettings,
     timing: InstanceTiming,
+    reserved_addresses: ReservedAddresses,
     _server_threads: Vec<ServerThread>,
 }
 
@@ -149,6 +151,7 @@
             addresses,
             network,
             timing,
+            reserved_addresses: ReservedAddresses::default(),
             _server_threads: server_threads,
             settings,
         };
@@ -167,9 +170,9 @@
         Ok(())
     }
 
-    /// Starts an instance on free addresses. Another process may bind an address before the instance
+    /// Starts an instance on free addresses. Another process may listen on an address before the instance
     /// does, so the start is repeated with new addresses.
-    fn start_instance(&self, instance: &LabInstanceSettings) -> Result<LabInstance, LabError> {
+    fn start_instance(&mut self, instance: &LabInstanceSettings) -> Result<LabInstance, LabError> {
         const MAX_ATTEMPTS: u32 = 8;
         for _ in 0..MAX_ATTEMPTS {
             let settings = self.instance_settings(instance)?;
@@ -193,17 +196,17 @@
     }
 
     fn instance_settings(
-        &self,
+        &mut self,
         instance: &LabInstanceSettings,
     ) -> Result<InstanceSettings, LabError> {
         let seeds = self.instances.iter().take(3).map(|it| it.addresses.peer).collect();
         Ok(InstanceSettings {
             id: instance.id.clone(),
             data_centre: instance.data_centre.clone(),
-            caller_address: free_address()?,
-            peer_address: free_address()?,
-            lane_address: free_address()?,
-            operator_address: free_address()?,
+            caller_address: self.reserved_addresses.reserve()?,
+            peer_address: self.reserved_addresses.reserve()?,
+            lane_address: self.reserved_addresses.reserve()?,
+            operator_address: self.reserved_addresses.reserve()?,
             platform_address: self.addresses.platform,
             seeds,
             lane_secret: "lab lanes".to_owned(),
@@ -263,11 +266,6 @@
     }
 }
 
-/// A loopback address with a port that is free at this moment.
-fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
-}
-
 fn start_platform(
     listener: TcpListener,
     store: &Arc<PlatformStore>,
--- a/crates/gullspar_lab/src/lib.rs
+++ b/crates/gullspar_lab/src/lib.rs
@@ -15,6 +15,7 @@
 mod lab_settings;
 mod network;
 pub mod platform;
+mod reserved_addresses;
 mod workload;
 
 pub use client::{Answer, Client, RequestOutcome};
--- a/crates/gullspar_lab/tests/instances.rs
+++ b/crates/gullspar_lab/tests/instances.rs
@@ -4,10 +4,12 @@
 
 mod support;
 
+use std::io::ErrorKind;
 use std::time::{Duration, Instant};
 
 use gullspar_instance::InstanceTiming;
 use gullspar_lab::{RequestOutcome, Workload};
+use socket2::{Domain, Socket, Type};
 use support::{LabUnderTest, assert_consistent, run, writers};
 
 /// Guards against a graceful shutdown that aborts requests in flight.
@@ -27,6 +29,23 @@
     assert_eq!(history.count(RequestOutcome::Unknown), 0);
 }
 
+/// Guards against an instance that can't start again because its port was given to another connection while it was stopped.
+#[test]
+fn addresses_of_a_stopped_instance_are_given_to_no_other() {
+    let mut lab = LabUnderTest::small();
+    lab.lab.instances[0].kill();
+    let addresses = lab.lab.instances[0].addresses.clone();
+    for address in [addresses.caller, addresses.operator, addresses.peer, addresses.lane] {
+        let other = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        let bound = other.bind(&address.into());
+        assert_eq!(bound.unwrap_err().kind(), ErrorKind::AddrInUse, "{address}");
+    }
+    lab.lab.instances[0].restart();
+    run(async {
+        lab.connect(0, "strict").await;
+    });
+}
+
 /// When an instance dies during a transaction, neither its writes nor its locks may remain.
 #[test]
 fn a_transaction_of_a_killed_instance_is_rolled_back() {
