Check that reloaded settings are a regular file in one place

Each way to read settings had a twin for running instances that only made this check first. Reloading makes it now, before either. Behaviour is the same.

--- a/crates/gullspar/src/check.rs
+++ b/crates/gullspar/src/check.rs
@@ -28,20 +28,8 @@
     parse(&name, &text).map_err(|findings| findings.to_string())
 }
 
-/// Like [`read`], for a running instance.
-pub(crate) fn read_again(file: &Path) -> Result<InstanceSettings, String> {
-    require_regular(file)?;
-    read(file)
-}
-
-/// Like [`read_direct`], for a running instance.
-pub(crate) fn read_direct_again(file: &Path) -> Result<DirectSettings, String> {
-    require_regular(file)?;
-    read_direct(file)
-}
-
 /// Checks that `file` is no pipe, which a running instance might wait for without end.
-fn require_regular(file: &Path) -> Result<(), String> {
+pub(crate) fn require_regular(file: &Path) -> Result<(), String> {
     let name = file.display();
     match std::fs::metadata(file) {
         Ok(metadata) if metadata.is_file() => Ok(()),
--- a/crates/gullspar/src/reload.rs
+++ b/crates/gullspar/src/reload.rs
@@ -1,26 +1,34 @@
 //! Reads the settings of a running instance again when its operator asks for it.
 
 use std::io;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use gullspar_instance::{ReadError, SettingsReader, Signals};
 
+use crate::check;
+
 /// Time between two readings of settings that are not sound. The file may still be being written.
 const REREAD_DELAY: Duration = Duration::from_millis(200);
 
 /// Number of readings in a row that must find settings that are not sound before this is reported.
 const MAX_READINGS: u32 = 3;
 
-/// Starts to read the settings again at each SIGHUP, and to log whether they have changed since `settings` were read.
+/// Starts to read the settings in `file` again at each SIGHUP, and to log whether they have changed since `settings` were read.
 ///
 /// The running instance keeps the settings with which it started, since addresses and names can't change while it runs.
 pub(crate) fn start<T: PartialEq + Send + 'static>(
     hangups: Signals,
     settings: T,
-    read: impl Fn() -> Result<T, String> + Send + Sync + 'static,
+    file: PathBuf,
+    read: fn(&Path) -> Result<T, String>,
 ) {
+    let reader = SettingsReader::new(move || {
+        check::require_regular(&file)?;
+        read(&file)
+    });
     compio::runtime::spawn(async move {
-        if let Err(err) = run(hangups, settings, SettingsReader::new(read)).await {
+        if let Err(err) = run(hangups, settings, reader).await {
             log::error!(reason = err.to_string().as_str(); "G0819 SIGHUP can't be handled; the settings are not reloaded");
         }
     })
--- a/crates/gullspar/src/run.rs
+++ b/crates/gullspar/src/run.rs
@@ -36,7 +36,7 @@
     };
     runtime.block_on(async move {
         let InstanceSignals { hangups, terminations } = signals;
-        reload::start(hangups, settings.clone(), move || check::read_again(&file));
+        reload::start(hangups, settings.clone(), file, check::read);
         serve(settings, terminations).await
     })
 }
--- a/crates/gullspar/src/serve.rs
+++ b/crates/gullspar/src/serve.rs
@@ -31,7 +31,7 @@
     };
     let result = runtime.block_on(async move {
         let InstanceSignals { hangups, terminations } = signals;
-        reload::start(hangups, settings.clone(), move || check::read_direct_again(&file));
+        reload::start(hangups, settings.clone(), file, check::read_direct);
         gullspar_platform::serve(settings, terminations.wait()).await
     });
     log::logger().flush();
