Hand over only what a session's state doesn't say already

A session that continues elsewhere carried its opening beside a state that has the same service and key, and forwarding it had a loop for messages that can't be there: the backlog is served before a session leaves. Both constructors of a relay listed all its fields. And each answer to a session with more requests in progress asked whether it should return, although it may leave only with none. Behaviour is the same.

--- a/crates/gullspar_direct/src/session/caller_opening.rs
+++ b/crates/gullspar_direct/src/session/caller_opening.rs
@@ -107,11 +107,11 @@
         end = match end {
             SessionEnd::Ended(reason) => return Ok(reason),
             SessionEnd::Forward(session) => Relay::resume(proxy, *session).await?,
-            SessionEnd::ServeHere(session) => {
+            SessionEnd::ServeHere(session, unanswered) => {
                 // The customer is looked up before each statement.
-                let start = SessionStart::new(session.opening, None)
+                let start = SessionStart::new(Opening::of(&session.restored), None)
                     .restored(Some(session.restored))
-                    .continued_with(session.unanswered)
+                    .continued_with(unanswered)
                     .counted_by(session.use_counter);
                 Session::serve_session(proxy, session.caller, start).await?
             }
--- a/crates/gullspar_direct/src/session/caller_session.rs
+++ b/crates/gullspar_direct/src/session/caller_session.rs
@@ -107,21 +107,16 @@
         }
     }
 
+    /// What another instance needs to continue the session. Its backlog is empty, since that is served before a departure.
     fn hand_over(self, use_counter: UseCounter) -> HandedOver {
         let restored = RestoredSession {
-            service: self.opening.service.clone(),
+            service: self.opening.service,
             key: self.opening.key,
             values: self.values,
             own_commit: self.own_commit,
             repeats_read: false,
         };
-        HandedOver {
-            caller: self.link,
-            opening: self.opening,
-            use_counter,
-            restored,
-            unanswered: self.backlog,
-        }
+        HandedOver { caller: self.link, use_counter, restored }
     }
 
     /// Returns when this instance no longer serves the session.
--- a/crates/gullspar_direct/src/session/relay.rs
+++ b/crates/gullspar_direct/src/session/relay.rs
@@ -81,16 +81,9 @@
             return Ok(SessionEnd::Ended(EndReason::Refused));
         };
         caller.reply(&opened).await?;
-        let relay = Relay {
-            proxy: Rc::clone(proxy),
-            caller,
-            opening,
-            use_counter,
-            home: Some(home),
-            state: ForwardedState::new(SessionValues::default(), None),
-            ending: false,
-            is_key_refused: false,
-        };
+        let state = ForwardedState::new(SessionValues::default(), None);
+        let mut relay = Relay::new(proxy, caller, opening, use_counter, state);
+        relay.home = Some(home);
         relay.forward_all().await
     }
 
@@ -99,25 +92,30 @@
         proxy: &Rc<Proxy>,
         session: HandedOver,
     ) -> Result<SessionEnd, CallerLinkError> {
-        let HandedOver { caller, opening, use_counter, restored, unanswered } = session;
-        let mut relay = Relay {
+        let HandedOver { caller, use_counter, restored } = session;
+        let opening = Opening::of(&restored);
+        let state = ForwardedState::new(restored.values, restored.own_commit);
+        Relay::new(proxy, caller, opening, use_counter, state).forward_all().await
+    }
+
+    /// Creates a relay without a home; the next statement opens the session at one.
+    fn new(
+        proxy: &Rc<Proxy>,
+        caller: Box<dyn CallerLink>,
+        opening: Opening,
+        use_counter: UseCounter,
+        state: ForwardedState,
+    ) -> Relay {
+        Relay {
             proxy: Rc::clone(proxy),
             caller,
             opening,
             use_counter,
             home: None,
-            state: ForwardedState::new(restored.values, restored.own_commit),
+            state,
             ending: false,
             is_key_refused: false,
-        };
-        for message in unanswered {
-            match relay.forward(message).await? {
-                Next::Continue => {}
-                Next::Close(reason) => return Ok(SessionEnd::Ended(reason)),
-                Next::ServeHere => return Ok(relay.hand_over()),
-            }
         }
-        relay.forward_all().await
     }
 
     async fn forward_all(mut self) -> Result<SessionEnd, CallerLinkError> {
@@ -151,8 +149,7 @@
     ///
     /// A home that asks to end a session with an open transaction rolls it back.
     fn leave_home_if_due(&mut self) {
-        let is_due = self.ending || self.should_return();
-        if is_due && self.state.unanswered.is_empty() {
+        if self.state.unanswered.is_empty() && (self.ending || self.should_return()) {
             self.home = None;
             self.ending = false;
         }
@@ -419,13 +416,8 @@
     fn hand_over(self) -> SessionEnd {
         let restored = self.state.restored(&self.opening);
         let unanswered = self.state.unanswered.into_iter().map(|it| it.message).collect();
-        SessionEnd::ServeHere(Box::new(HandedOver {
-            caller: self.caller,
-            opening: self.opening,
-            use_counter: self.use_counter,
-            restored,
-            unanswered,
-        }))
+        let session = HandedOver { caller: self.caller, use_counter: self.use_counter, restored };
+        SessionEnd::ServeHere(Box::new(session), unanswered)
     }
 }
 
--- a/crates/gullspar_direct/src/session/session_end.rs
+++ b/crates/gullspar_direct/src/session/session_end.rs
@@ -6,7 +6,6 @@
 
 use crate::RestoredSession;
 use crate::fleet::rotation::UseCounter;
-use crate::session::opening::Opening;
 
 /// Why a session has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,8 +52,8 @@
 /// The result of serving or forwarding a session.
 pub(crate) enum SessionEnd {
     Ended(EndReason),
-    /// This instance serves the session from now on.
-    ServeHere(Box<HandedOver>),
+    /// This instance serves the session from now on, beginning with the messages that are not answered yet.
+    ServeHere(Box<HandedOver>, VecDeque<CallerMessage>),
     /// Another instance serves the session from its next statement on.
     Forward(Box<HandedOver>),
 }
@@ -62,9 +61,6 @@
 /// A session that continues, with its caller's connection.
 pub(crate) struct HandedOver {
     pub(crate) caller: Box<dyn CallerLink>,
-    pub(crate) opening: Opening,
     pub(crate) use_counter: UseCounter,
     pub(crate) restored: RestoredSession,
-    /// Messages that are not answered yet.
-    pub(crate) unanswered: VecDeque<CallerMessage>,
 }
