Work out the homes of a test fleet in one place

The test of a home that is replaced had a copy of the inputs from which HomeFleet works out its homes. Both use HomeFleet::rank now; checks are as they were.

--- a/crates/gullspar_direct/tests/moved_sessions.rs
+++ b/crates/gullspar_direct/tests/moved_sessions.rs
@@ -4,14 +4,11 @@
 
 mod support;
 
-use std::collections::BTreeSet;
-use std::rc::Rc;
-
-use gullspar_direct::{Allowance, HomeInputs, Member, Members, Phase, homes};
+use gullspar_direct::Phase;
 use gullspar_statement::FailureCode;
 use support::{
-    CONNECTIONS, Fault, GROUP, HomeFleet, INSTANCES, LATEST, OWN_WRITES, UnpausingCallers, World,
-    pause, run, wait_until,
+    CONNECTIONS, Fault, HomeFleet, LATEST, OWN_WRITES, UnpausingCallers, World, pause, run,
+    wait_until,
 };
 
 const CALLERS: usize = 6;
@@ -22,9 +19,6 @@
 /// Time in which all instances know a new member and homes that are no longer needed are given up, in milliseconds.
 const REPLACEMENT_PERIOD_MS: u64 = 7000;
 
-/// Number of the last instance that may join.
-const LAST_NUMBER: u16 = 200;
-
 /// Guards against connections that are closed on callers with a request on its way, because their instance lost the leader.
 #[test]
 fn callers_keep_their_connections_while_their_instance_loses_the_leader() {
@@ -72,17 +66,6 @@
     });
 }
 
-/// The number of an instance that becomes a home in place of the instance `home` if it joins `members`.
-fn replacement_of(home: u16, members: &[Member], inputs: &HomeInputs) -> u16 {
-    let is_replaced_by = |number: &u16| {
-        let joined = members.iter().cloned().chain([support::member(*number)]).collect();
-        let found = homes::homes(&GROUP.into(), inputs, &"dc-1".into(), &Members::new(joined));
-        let found = found.unwrap();
-        !found.ranked[..found.count].iter().any(|it| it.address.port() == home)
-    };
-    (INSTANCES + 1..LAST_NUMBER).find(is_replaced_by).unwrap()
-}
-
 /// Guards against connections that are closed on callers, and state of their sessions that is lost, because their instance is
 /// no longer a home.
 #[test]
@@ -96,14 +79,7 @@
         idle.execute_ok("PREPARE get READ q").await;
         idle.execute_ok("WRITE slot mine").await;
 
-        let members: Vec<Member> = (1..=INSTANCES).map(support::member).collect();
-        let spec = &fleet.world.group.specs()[0];
-        let inputs = HomeInputs {
-            allowance: Allowance { connections: CONNECTIONS, slots: spec.slots },
-            group_count: 1,
-            target_data_centres: Rc::new(BTreeSet::from([spec.data_centre.clone()])),
-        };
-        let joining = support::member(replacement_of(home, &members, &inputs));
+        let joining = support::member(fleet.replacement_of(home));
         let catalogue = support::catalogue_with_connections(2, CONNECTIONS);
         let _joined = fleet.world.instance_as(joining, catalogue);
         pause(REPLACEMENT_PERIOD_MS).await;
--- a/crates/gullspar_direct/tests/support/home_fleet.rs
+++ b/crates/gullspar_direct/tests/support/home_fleet.rs
@@ -17,6 +17,9 @@
 
 const HOMES: usize = 2;
 
+/// Number of the last instance that may join.
+const LAST_NUMBER: u16 = 200;
+
 /// Instances with two homes of the group.
 pub struct HomeFleet {
     pub world: World,
@@ -32,8 +35,24 @@
 
     pub async fn start_with(catalogue: Catalogue) -> HomeFleet {
         let world = World::new();
-        let members: Vec<Member> = (1..=INSTANCES).map(super::member).collect();
+        let members = HomeFleet::members();
         let proxies = world.fleet_with_catalogue(&members, &catalogue);
+        let ranked = HomeFleet::rank(&world, members);
+        let fleet = HomeFleet { world, proxies, ranked };
+        for number in fleet.homes() {
+            fleet.world.wait_for_leader(fleet.proxy(*number)).await;
+        }
+        // Instances that are known only from the registry count as expected for three seconds.
+        pause(3200).await;
+        fleet
+    }
+
+    pub fn members() -> Vec<Member> {
+        (1..=INSTANCES).map(super::member).collect()
+    }
+
+    /// Numbers of the homes of the group if the fleet consists of `members`, followed by those of the spare homes.
+    pub fn rank(world: &World, members: Vec<Member>) -> Vec<u16> {
         let spec = &world.group.specs()[0];
         let inputs = HomeInputs {
             allowance: Allowance { connections: CONNECTIONS, slots: spec.slots },
@@ -43,14 +62,16 @@
         let all = Members::new(members);
         let found = homes::homes(&GROUP.into(), &inputs, &spec.data_centre, &all).unwrap();
         assert_eq!(found.count, HOMES);
-        let ranked: Vec<u16> = found.ranked.iter().map(|it| it.address.port()).collect();
-        let fleet = HomeFleet { world, proxies, ranked };
-        for number in fleet.homes() {
-            fleet.world.wait_for_leader(fleet.proxy(*number)).await;
-        }
-        // Instances that are known only from the registry count as expected for three seconds.
-        pause(3200).await;
-        fleet
+        found.ranked.iter().map(|it| it.address.port()).collect()
+    }
+
+    /// The number of an instance that becomes a home in place of the instance `home` if it joins the fleet.
+    pub fn replacement_of(&self, home: u16) -> u16 {
+        let is_replaced_by = |number: &u16| {
+            let joined = HomeFleet::members().into_iter().chain([super::member(*number)]);
+            !HomeFleet::rank(&self.world, joined.collect())[..HOMES].contains(&home)
+        };
+        (INSTANCES + 1..LAST_NUMBER).find(is_replaced_by).unwrap()
     }
 
     /// Numbers of the homes.
