--- a/crates/gullsparctl/src/soak_command.rs
+++ b/crates/gullsparctl/src/soak_command.rs
@@ -44,14 +44,11 @@
     Err(CommandError::Text(format!("seeds that failed: {}", failed.join(", "))))
 }
 
-/// Prints a summary of one seed, and its faults and breaches if it failed; returns whether it passed.
+/// Prints a summary of one seed; returns whether it passed.
 fn print_report(report: &Report) -> bool {
-    let passed = report.breaches.is_empty() && report.done_after_faults > 0;
-    println!(
-        "seed {}: {}; {} faults, {} written, {} not kept, {} unknown, {} lost as allowed, {} reads, \
-         {} written afterwards, {} promotions, {} of them late{}",
-        report.seed,
-        if passed { "passed" } else { "FAILED" },
+    let summary = format!(
+        "{} faults, {} written, {} not kept, {} unknown, {} lost as allowed, {} reads, {} written afterwards, \
+         {} promotions, {} of them late{}",
         report.faults.len(),
         report.done,
         report.not_kept,
@@ -63,20 +60,15 @@
         report.late_orders,
         if report.is_synchronous { ", synchronous" } else { "" },
     );
-    if !passed {
-        print_details(&report.faults, &report.breaches);
-    }
-    passed
+    let has_recovered = report.done_after_faults > 0;
+    print_result(report.seed, &summary, &report.faults, &report.breaches, has_recovered)
 }
 
 /// Like [`print_report`], for a run with signals.
 fn print_signal_report(report: &SignalReport) -> bool {
-    let passed = report.breaches.is_empty() && report.served_after_faults > 0;
-    println!(
-        "seed {}: {}; {} series of signals, {} requests served, {} failed, {} connections closed by shutdowns, \
+    let summary = format!(
+        "{} series of signals, {} requests served, {} failed, {} connections closed by shutdowns, \
          {} callers gave up in pauses, {} served afterwards",
-        report.seed,
-        if passed { "passed" } else { "FAILED" },
         report.faults.len(),
         report.served,
         report.failed,
@@ -84,13 +76,23 @@
         report.gave_up_in_pauses,
         report.served_after_faults,
     );
+    let has_recovered = report.served_after_faults > 0;
+    print_result(report.seed, &summary, &report.faults, &report.breaches, has_recovered)
+}
+
+/// Prints the summary of a seed, and its faults and breaches if it failed; returns whether it passed.
+fn print_result(
+    seed: u64,
+    summary: &str,
+    faults: &[String],
+    breaches: &[Breach],
+    has_recovered: bool,
+) -> bool {
+    let passed = breaches.is_empty() && has_recovered;
+    println!("seed {seed}: {}; {summary}", if passed { "passed" } else { "FAILED" });
     if !passed {
-        print_details(&report.faults, &report.breaches);
+        faults.iter().for_each(|it| println!("  {it}"));
+        breaches.iter().for_each(|it| println!("  broken: {}: {}", it.promise, it.text));
     }
     passed
 }
-
-fn print_details(faults: &[String], breaches: &[Breach]) {
-    faults.iter().for_each(|it| println!("  {it}"));
-    breaches.iter().for_each(|it| println!("  broken: {}: {}", it.promise, it.text));
-}
